Read the configuration again on SIGHUP: discovery and the counter move, nothing held is lost

Checked: cmd/bramblefall/main.go registered SIGTERM and SIGINT only, so the signal's default stood. Nothing in counter or discovery could change its address: counter.Client.addr and discovery.Client.addr were set by New alone. On the way: RELAY_DISCOVERY keeps the first address and went before the file, so a reload read as at the start moves nothing.

Change: signals are registered before all else; on SIGHUP the file is read with the start's reader, the file going before the environment. discovery.Move ends the watch and begins the next at the new address at once; counter.Move uses the old connection until the new one is up and keeps it for the answers that are due. A file that cannot be used is logged and the old one kept. The loop's case of a counter without an address moved into the counter.

The test fails without the change (the program ends). Settings in a new file are not taken over yet.

--- a/cmd/bramblefall/config.go
+++ b/cmd/bramblefall/config.go
@@ -31,8 +31,9 @@
 	seed     uint64
 }
 
-// readConfig reads the platform's file; what the environment says of this limiter's place goes first.
-func readConfig(path string) (c config, err error) {
+// readConfig reads the platform's file. At the start, what the environment says of this limiter's place goes first.
+// Where the file is read again it is the file that has the news, and the environment only fills in.
+func readConfig(path string, again bool) (c config, err error) {
 	if path == "" {
 		return c, errors.New("no configuration: set RELAY_CONFIG or -config")
 	}
@@ -45,7 +46,7 @@
 	}
 	for name, field := range map[string]*string{"RELAY_NAME": &c.Name, "RELAY_LISTEN": &c.Listen,
 		"RELAY_DISCOVERY": &c.Discovery} {
-		if v := os.Getenv(name); v != "" {
+		if v := os.Getenv(name); v != "" && !(again && *field != "") {
 			*field = v
 		}
 	}
--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -77,6 +77,7 @@
 type limiter struct {
 	t        *testing.T
 	cmd      *exec.Cmd
+	path     string // of its configuration
 	addr     string // of the RESP2 front
 	grpcAddr string
 	ended    chan struct{}
@@ -109,6 +110,20 @@
 	second   string // the rate limit file; "": none
 }
 
+// config is the file that tells a limiter of its world.
+func (w world) config() object {
+	cfg := object{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 128}, "settings": w.settings,
+		"known": object{"version": 1, "full": true, "servers": entries(w.servers)}}
+	if w.counter != nil {
+		cfg["counter"] = w.counter.addr
+	}
+	if w.registry != nil {
+		cfg["discovery"] = w.registry.addr
+	}
+	return cfg
+}
+
 func writeJSON(t *testing.T, path string, v any) string {
 	raw, err := json.Marshal(v)
 	require.NoError(t, err)
@@ -122,20 +137,15 @@
 	if w.settings == nil {
 		w.settings = settings()
 	}
-	cfg := object{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 128}, "settings": w.settings,
-		"known": object{"version": 1, "full": true, "servers": entries(w.servers)}}
-	if w.counter != nil {
-		cfg["counter"] = w.counter.addr
-	}
-	if w.registry != nil {
-		cfg["discovery"] = w.registry.addr
-	}
-	args := []string{"-config", writeJSON(t, filepath.Join(t.TempDir(), "config.json"), cfg)}
+	path := writeJSON(t, filepath.Join(t.TempDir(), "config.json"), w.config())
+	args := []string{"-config", path}
 	if w.second != "" {
 		args = append(args, "-ratelimit", w.second)
 	}
-	l := &limiter{t: t, cmd: exec.Command(binary, args...), ended: make(chan struct{})}
+	l := &limiter{t: t, path: path, cmd: exec.Command(binary, args...), ended: make(chan struct{})}
+	if w.registry != nil { // as on the platform, where the environment keeps the first address
+		l.cmd.Env = append(os.Environ(), "RELAY_DISCOVERY="+w.registry.addr)
+	}
 	out, err := l.cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, l.cmd.Start())
@@ -166,6 +176,15 @@
 	return l
 }
 
+// reload replaces the configuration and waits for the limiter to say what it made of it.
+func (l *limiter) reload(raw []byte, word string) {
+	l.t.Helper()
+	before := strings.Count(l.log.String(), word)
+	require.NoError(l.t, os.WriteFile(l.path, raw, 0o600))
+	require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(l.t, func() bool { return strings.Count(l.log.String(), word) > before }, patience, time.Millisecond)
+}
+
 func (l *limiter) terminate() { require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGTERM)) }
 
 func await[T any](t *testing.T, c <-chan T, what string) (v T) {
--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -45,12 +45,14 @@
 	level := flag.String("log", "info", "log level: debug, info, warn or error")
 	second := flag.String("ratelimit", "", "a file that says where the gRPC rate limit service listens; without one it is off")
 	flag.Parse()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // before all else: a SIGHUP must not end it
 	var least slog.Level
 	if err := least.UnmarshalText([]byte(*level)); err != nil {
 		return err
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: least})))
-	cfg, err := readConfig(*path)
+	cfg, err := readConfig(*path, false)
 	if err != nil {
 		return err
 	}
@@ -60,10 +62,10 @@
 			return err
 		}
 	}
-	return serve(cfg, service)
+	return serve(cfg, service, *path, signals)
 }
 
-func serve(cfg config, service *rateLimit) error {
+func serve(cfg config, service *rateLimit, path string, signals <-chan os.Signal) error {
 	if cfg.Limits.Cores > 0 {
 		// On one core, a second scheduler thread only wakes and parks: measured, a sixth more CPU on a calm day.
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
@@ -76,20 +78,12 @@
 	if service != nil {
 		most = max(most-ratelimit.Descriptors, fewDescriptors)
 	}
-	terms := make(chan os.Signal, 1)
-	signal.Notify(terms, syscall.SIGTERM, syscall.SIGINT)
-
 	owner := loop.New(core.New(cfg.settings, cfg.seed))
 	pool := upstream.New(cfg.settings, most/2, owner.Post)
 	list := discovery.New(cfg.Discovery, cfg.settings, pool, owner.Post)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	var counts loop.Counter
-	if cfg.settings.HasCounter && cfg.Counter != "" {
-		c := counter.New(cfg.Counter, owner.Post, loop.Now)
-		counts = c
-		go c.Run(ctx)
-	}
+	counts := counter.New(cfg.Counter, owner.Post, loop.Now)
 	callers := []loop.Caller{pool} // by group
 	if service != nil {
 		callers = append(callers, service.prepare(cfg.settings, owner))
@@ -98,9 +92,8 @@
 	list.Known(cfg.Known)
 	go owner.Run(ctx)
 	go pool.Run(ctx)
-	if cfg.Discovery != "" {
-		go list.Run(ctx)
-	}
+	go counts.Run(ctx)
+	go list.Run(ctx)
 	front := platform.New(cfg.settings, owner, most-most/2)
 	at, err := front.Listen(cfg.Listen)
 	if err != nil {
@@ -114,7 +107,19 @@
 	}
 	slog.Info("serving", "name", cfg.Name, "listen", at)
 
-	<-terms
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		next, err := readConfig(path, true)
+		if err != nil {
+			slog.Error("the new configuration cannot be used, the old one is kept", "err", err)
+			continue
+		}
+		list.Move(next.Discovery)
+		counts.Move(next.Counter)
+		slog.Info("read the configuration anew", "discovery", next.Discovery, "counter", next.Counter)
+	}
 	ended := time.After(lastAnswers)
 	slog.Info("draining", "open", owner.Open())
 	drained := make(chan struct{})
--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -232,6 +233,51 @@
 	assert.Zero(t, l.cmd.ProcessState.ExitCode())
 }
 
+// SIGHUP moves discovery and the counter while a request context is held, and a file that cannot be used changes
+// nothing. The environment still names the first address of discovery then.
+func TestSighupReadsTheConfigurationAgain(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	a := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		<-release
+		value("held")(conn, args)
+	})
+	b := newServer(t, "s-2", "hall-a", value("b"))
+	set := settings()
+	set["balancers"] = 8 // the counter is asked before a request goes
+	set["tariffs"] = []object{plan("regular", 1000, 4000, 0), plan("full", 100, 4, 0)}
+	w := world{settings: set, servers: []*server{a}, counter: newCounter(t), registry: newRegistry(t)}
+	l := start(t, w)
+	held, c := l.dial(), l.dial()
+	held.write(command(ask("01")...))
+	require.Eventually(t, func() bool { return len(a.seen()) == 1 }, patience, time.Millisecond)
+
+	next := world{settings: set, servers: w.servers, counter: newCounter(t), registry: newRegistry(t)}
+	good, err := json.Marshal(next.config())
+	require.NoError(t, err)
+	for _, bad := range []string{"", string(good[:len(good)/2]), `{"discovery":"127.0.0.1:1"}`} {
+		l.reload([]byte(bad), "the old one is kept")
+	}
+	a.state = "draining"
+	w.registry.tell(2, true, a, b)
+	require.Eventually(t, func() bool { return c.do(ask("02")...) == "b" }, patience, time.Millisecond, "the old discovery is heard")
+
+	l.reload(good, "read the configuration anew")
+	a.state, b.state = "ready", "gone"
+	next.registry.tell(3, true, a)
+	close(release)
+	assert.Equal(t, "held", held.answer())
+	require.Eventually(t, func() bool { return c.do(ask("03")...) == "held" }, patience, time.Millisecond, "the new discovery is heard")
+	counted := ask("04")
+	counted[1] = "00000000b4d65522" // a firm is counted by what its first request says of it
+	counted[3] = strings.Replace(strings.Replace(counted[3], "spread=1", "spread=8", 1), "regular", "full", 1)
+	require.Eventually(t, func() bool {
+		c.do(counted...)
+		calls, _ := next.counter.made()
+		return calls > 0
+	}, patience, time.Millisecond, "the new counter is asked")
+}
+
 func TestBadConfigurationEndsWithOneLine(t *testing.T) {
 	t.Parallel()
 	set := settings()
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -28,12 +28,13 @@
 // Client makes the calls over one connection: answers come in the calls' order, and the calls for one name
 // must, too.
 type Client struct {
-	addr string
 	post func(core.Event)
 	now  func() time.Duration // the reducer's clock
 
 	mu      sync.Mutex
-	link    *link
+	addr    string // "": there is none
+	link    *link  // takes the calls
+	old     *link  // to an address that was left: it only brings the answers that are due
 	dialing bool
 	dialed  time.Time
 	waiting []core.Count // for the connection
@@ -42,6 +43,7 @@
 // link is one connection to the counter.
 type link struct {
 	client *Client
+	addr   string
 	conn   netpoll.Connection
 	out    *socket.Outbox
 	buf    []byte // owned by the reading side
@@ -76,19 +78,33 @@
 	}
 }
 
+// Move makes the calls at another address from now on. The connection to the old one is used until the new one
+// is up, and then kept for the answers that are due on it: no call is lost to the change.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.addr {
+		c.addr = addr
+		c.tend()
+	}
+}
+
 // tend leaves a connection that has gone silent, dials, and keeps an idle one from being closed.
 func (c *Client) tend() {
-	if l := c.link; l != nil {
+	for _, l := range []*link{c.old, c.link} {
+		if l == nil {
+			continue
+		}
 		if len(l.sent) > 0 && time.Since(l.sent[0].made) > stuckAfter {
 			slog.Warn("the counter is silent, connecting anew")
 			l.end()
-		} else if time.Since(l.wrote) > pingEvery {
+		} else if l == c.link && time.Since(l.wrote) > pingEvery {
 			l.write([]byte("ping\r\n"), call{made: time.Now()})
 		}
 	}
-	if c.link == nil && !c.dialing {
+	if c.addr != "" && (c.link == nil || c.link.addr != c.addr) && !c.dialing {
 		c.dialing = true
-		go c.dial()
+		go c.dial(c.addr)
 	}
 }
 
@@ -100,7 +116,7 @@
 		c.link.add(e)
 		return
 	}
-	if len(c.waiting) >= mostCalls {
+	if c.addr == "" || len(c.waiting) >= mostCalls { // the settings may promise a counter that has no address
 		c.fail(e.Call, logic.ConnectFailed)
 		return
 	}
@@ -114,11 +130,18 @@
 	}
 }
 
-func (c *Client) dial() {
-	conn, err := socket.Dial(c.addr, dialLimit)
+func (c *Client) dial(addr string) {
+	conn, err := socket.Dial(addr, dialLimit)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dialing = false
+	if addr != c.addr { // moved meanwhile
+		if err == nil {
+			go conn.Close()
+		}
+		c.tend()
+		return
+	}
 	waiting := c.waiting
 	c.waiting = nil
 	if err != nil {
@@ -127,7 +150,8 @@
 		}
 		return
 	}
-	l := &link{client: c, conn: conn, out: socket.NewOutbox(conn), wrote: time.Now()}
+	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn), wrote: time.Now()}
+	c.retire()
 	c.link = l
 	_ = conn.SetOnRequest(l.onRequest)
 	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
@@ -142,6 +166,16 @@
 	}
 }
 
+// retire keeps the connection to the address that is left for as long as answers are due on it.
+func (c *Client) retire() {
+	if c.old != nil {
+		c.old.end()
+	}
+	if c.old, c.link = c.link, nil; c.old != nil && len(c.old.sent) == 0 {
+		c.old.end()
+	}
+}
+
 // add writes a call, unless the reducer has given up on it already: it must not be counted after that.
 func (l *link) add(e core.Count) {
 	if l.client.now() >= e.Until {
@@ -171,8 +205,11 @@
 		return
 	}
 	l.ended = true
-	if l.client.link == l {
+	switch l {
+	case l.client.link:
 		l.client.link = nil
+	case l.client.old:
+		l.client.old = nil
 	}
 	for _, s := range l.sent {
 		l.client.fail(s.id, logic.Reset)
@@ -207,6 +244,9 @@
 		l.answer(line)
 		l.buf = l.buf[:copy(l.buf, rest)]
 	}
+	if l == l.client.old && len(l.sent) == 0 {
+		l.end()
+	}
 	if len(l.buf) > mostLine { // no answer is so long: this is no counter
 		l.end()
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -54,7 +54,6 @@
 
 // Client follows the list.
 type Client struct {
-	addr  string
 	zones *wire.Names
 	kinds *wire.Names
 	book  Addresses
@@ -63,6 +62,8 @@
 	fetch chan struct{} // a whole list is asked for
 
 	mu      sync.Mutex
+	addr    string             // "": there is none
+	moved   context.CancelFunc // ends the watch that the address was followed with
 	ids     map[string]logic.ServerID
 	version int64
 }
@@ -70,7 +71,7 @@
 // New makes a client of discovery at an address.
 func New(addr string, set logic.Settings, book Addresses, post func(core.Event)) *Client {
 	dial := func(_ context.Context, _, addr string) (net.Conn, error) { return socket.Dial(addr, dialLimit) }
-	return &Client{addr: addr, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
+	return &Client{addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
 		fetch: make(chan struct{}, 1),
 		http:  http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}}
 }
@@ -86,22 +87,41 @@
 	}
 }
 
+// Move follows the list at another address from now on. Guards against a watch that lives on at an address that
+// tells nothing more: it is left at once, and not asked again after the usual wait.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.addr {
+		c.addr = addr
+		c.moved()
+	}
+}
+
 // Run follows the list until the context ends. Where a watch breaks it begins the next from the last version.
 func (c *Client) Run(ctx context.Context) {
 	go c.fetches(ctx)
 	retry := firstRetry
 	for ctx.Err() == nil {
 		began := time.Now()
-		err := c.watch(ctx)
-		if ctx.Err() != nil {
-			return
+		here, moved := context.WithCancel(ctx)
+		c.mu.Lock()
+		c.moved = moved
+		named := c.addr != ""
+		c.mu.Unlock()
+		if !named {
+			<-here.Done()
+			continue
+		}
+		err := c.watch(here)
+		if ctx.Err() == nil {
+			slog.Info("the watch of discovery ended", "err", err)
 		}
-		slog.Info("the watch of discovery ended", "err", err)
-		if time.Since(began) > silence {
+		sleep(here, retry)
+		if retry = min(2*retry, lastRetry); here.Err() != nil || time.Since(began) > silence {
 			retry = firstRetry
 		}
-		sleep(ctx, retry)
-		retry = min(2*retry, lastRetry)
+		moved()
 	}
 }
 
@@ -129,7 +149,10 @@
 func (c *Client) whole(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
-	return c.lines(ctx, "/registry/instances", func() {})
+	c.mu.Lock()
+	addr := c.addr
+	c.mu.Unlock()
+	return c.lines(ctx, addr+"/registry/instances", func() {})
 }
 
 func (c *Client) watch(ctx context.Context) error {
@@ -138,15 +161,14 @@
 	watchdog := time.AfterFunc(silence, cancel)
 	defer watchdog.Stop()
 	c.mu.Lock()
-	from := c.version
+	path := c.addr + "/registry/instances?watch=1&from=" + strconv.FormatInt(c.version, 10)
 	c.mu.Unlock()
-	path := "/registry/instances?watch=1&from=" + strconv.FormatInt(from, 10)
 	return c.lines(ctx, path, func() { watchdog.Reset(silence) })
 }
 
 // lines takes the lists of an answer, one a line, and tells of every line that comes.
 func (c *Client) lines(ctx context.Context, path string, came func()) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+path, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -50,7 +50,7 @@
 // New makes a loop; Run starts it once its parts are set.
 func New(r *core.Reducer) *Loop { return &Loop{reducer: r, wake: make(chan struct{}, 1)} }
 
-// Connect sets the parts that effects go to: the callers by group, the counter (nil: none) and discovery.
+// Connect sets the parts that effects go to: the callers by group, the counter and discovery.
 func (l *Loop) Connect(callers []Caller, counter Counter, refresher Refresher) {
 	l.callers, l.counter, l.refresher = callers, counter, refresher
 }
@@ -144,7 +144,7 @@
 	case core.Fail:
 		e.Origin.Failed()
 	case core.Count:
-		l.count(e)
+		l.counter.Count(e)
 	case core.Probe:
 		l.callers[e.Group].Probe(e)
 	case core.AbandonProbe:
@@ -158,15 +158,6 @@
 	}
 }
 
-// count fails a call at once where the settings promise a counter that the configuration does not name.
-func (l *Loop) count(e core.Count) {
-	if l.counter == nil {
-		l.Post(core.CountResult{Call: e.Call, Status: logic.ConnectFailed})
-		return
-	}
-	l.counter.Count(e)
-}
-
 type timers []core.SetTimer
 
 func (t timers) Len() int           { return len(t) }
