Leave a spoilt or silent connection to the counter at once, and take neither for a dead counter

Checked: internal/counter answer() failed a spoilt call alone and wrote the next calls to a connection that brings nothing more, until stuckAfter (1 s) passed; bytes without a line's end were kept until 256 had come. In the module, counted() took each reset of a call for silence and stayed away from the counter for up to 6 s (0.5 to 1.5 times 4 s), so it went unused for seconds after it was back. Ruled out: the counter's capacity (0 % turned away).

Change: noise ends its connection as soon as it shows, and the next is dialled at once; 150 ms without a byte while answers are due does the same. The module takes a reset for no silence, reads the sums after a call that may have been added, and stays away for 1 s (0.5 to 1.5) at most. NaN and infinite totals are noise.

Every case of the test fails without the change.

--- a/cmd/bramblefall/upstream_test.go
+++ b/cmd/bramblefall/upstream_test.go
@@ -144,6 +144,31 @@
 	require.Eventually(t, func() bool { return c.do(ask("ff")...) == "a" }, patience, time.Millisecond)
 }
 
+// An answer without a number, with or without an end, ends its connection: the calls go on over the next one.
+func TestASpoiltAnswerOfTheCounterEndsItsConnection(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]string{"noise": "\x00\xff\x10\r\n", "no number": "ok many\r\n", "nan": "ok nan\r\n",
+		"word": "okay\r\n", "no end": "\x07\x07\x07", "endless": "ok " + strings.Repeat("1", 100)} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := settings()
+			set["balancers"] = 8 // the counter is asked before a request goes
+			set["tariffs"] = []object{plan("regular", 100, 4, 0)}
+			n := newCounter(t)
+			n.spoil = spoil
+			c := start(t, world{settings: set, servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, counter: n}).dial()
+			args := ask("01")
+			args[3] = strings.Replace(args[3], "spread=1", "spread=8", 1)
+			require.Eventually(t, func() bool {
+				c.do(args...)
+				calls, _ := n.made() // those that were answered
+				return calls > 0
+			}, patience, time.Millisecond)
+			assert.Zero(t, n.wasted())
+		})
+	}
+}
+
 // The counter is called off the path: silence, refusals and garbage of it hold no request up and end nothing.
 func TestTheCountersTroublesHoldNobodyUp(t *testing.T) {
 	t.Parallel()
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -18,11 +19,12 @@
 
 const (
 	dialLimit   = 250 * time.Millisecond
-	pingEvery   = 2 * time.Second // the counter closes a connection that is idle for longer
-	stuckAfter  = time.Second     // an answer so late will not come: the machine may have vanished
+	pingEvery   = 2 * time.Second        // the counter closes a connection that is idle for longer
+	stuckAfter  = 150 * time.Millisecond // without a byte while answers are due: this connection brings none any more
+	tendEvery   = 50 * time.Millisecond
 	redialEvery = 200 * time.Millisecond
 	mostCalls   = 4096 // on their way
-	mostLine    = 256
+	mostLine    = 64   // an answer's
 )
 
 // Client makes the calls over one connection: answers come in the calls' order, and the calls for one name
@@ -50,6 +52,7 @@
 	sent   []call
 	ended  bool
 	wrote  time.Time
+	heard  time.Time
 }
 
 type call struct {
@@ -64,7 +67,7 @@
 
 // Run keeps the connection up until the context ends.
 func (c *Client) Run(ctx context.Context) {
-	tick := time.NewTicker(redialEvery)
+	tick := time.NewTicker(tendEvery)
 	defer tick.Stop()
 	for {
 		c.mu.Lock()
@@ -84,7 +87,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if addr != c.addr {
-		c.addr = addr
+		c.addr, c.dialed = addr, time.Time{}
 		c.tend()
 	}
 }
@@ -95,15 +98,15 @@
 		if l == nil {
 			continue
 		}
-		if len(l.sent) > 0 && time.Since(l.sent[0].made) > stuckAfter {
+		if len(l.sent) > 0 && time.Since(l.sent[0].made) > stuckAfter && time.Since(l.heard) > stuckAfter {
 			slog.Warn("the counter is silent, connecting anew")
 			l.end()
 		} else if l == c.link && time.Since(l.wrote) > pingEvery {
 			l.write([]byte("ping\r\n"), call{made: time.Now()})
 		}
 	}
-	if c.addr != "" && (c.link == nil || c.link.addr != c.addr) && !c.dialing {
-		c.dialing = true
+	if c.addr != "" && (c.link == nil || c.link.addr != c.addr) && !c.dialing && time.Since(c.dialed) > redialEvery {
+		c.dialing, c.dialed = true, time.Now()
 		go c.dial(c.addr)
 	}
 }
@@ -144,15 +147,16 @@
 	}
 	waiting := c.waiting
 	c.waiting = nil
-	if err != nil {
+	if err == nil {
+		c.dialed = time.Time{} // it is there: if this connection breaks, the next is made at once
+	} else {
 		for _, e := range waiting {
 			c.fail(e.Call, logic.ConnectFailed)
 		}
 		return
 	}
 	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn), wrote: time.Now()}
-	c.retire()
-	c.link = l
+	c.replace(l)
 	_ = conn.SetOnRequest(l.onRequest)
 	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
 		go l.closed()
@@ -166,13 +170,15 @@
 	}
 }
 
-// retire keeps the connection to the address that is left for as long as answers are due on it.
-func (c *Client) retire() {
-	if c.old != nil {
-		c.old.end()
+// replace takes a new connection. One to an address that was left is kept for as long as answers are due on it.
+func (c *Client) replace(l *link) {
+	older, left := c.old, c.link
+	c.old, c.link = left, l
+	if older != nil {
+		older.end()
 	}
-	if c.old, c.link = c.link, nil; c.old != nil && len(c.old.sent) == 0 {
-		c.old.end()
+	if left != nil && len(left.sent) == 0 {
+		left.end()
 	}
 }
 
@@ -216,6 +222,7 @@
 	}
 	l.sent = nil
 	go l.conn.Close()
+	l.client.tend()
 }
 
 func (l *link) closed() {
@@ -236,6 +243,7 @@
 	}
 	l.client.mu.Lock()
 	defer l.client.mu.Unlock()
+	l.heard = time.Now()
 	for !l.ended {
 		line, rest, ok := bytes.Cut(l.buf, []byte("\r\n"))
 		if !ok {
@@ -247,13 +255,27 @@
 	if l == l.client.old && len(l.sent) == 0 {
 		l.end()
 	}
-	if len(l.buf) > mostLine { // no answer is so long: this is no counter
+	if !begins(l.buf) {
 		l.end()
 	}
 	return nil
 }
 
-// answer takes the line that answers the oldest call. What cannot be read fails that call alone.
+// begins tells whether bytes may be the start of an answer. Guards against noise whose end never comes.
+func begins(b []byte) bool {
+	if text, ok := bytes.CutPrefix(b, []byte("ok ")); ok {
+		return len(b) <= mostLine && len(bytes.Trim(text, "0123456789+-.eE\r")) == 0
+	}
+	for _, word := range []string{"ok ", "busy\r", "error\r", "pong\r"} {
+		if n := min(len(b), len(word)); string(b[:n]) == word[:n] && len(b) <= len(word) {
+			return true
+		}
+	}
+	return false
+}
+
+// answer takes the line that answers the oldest call. What cannot be read ends the connection: the call may have
+// been added, and nothing that comes after it can be told to be an answer.
 func (l *link) answer(line []byte) {
 	if len(l.sent) == 0 {
 		l.end() // an answer to nothing: the order is lost
@@ -261,18 +283,24 @@
 	}
 	s := l.sent[0]
 	l.sent = l.sent[1:]
-	if s.id == 0 {
-		return
-	}
 	if text, ok := bytes.CutPrefix(line, []byte("ok ")); ok {
-		if total, err := strconv.ParseFloat(string(text), 64); err == nil {
-			l.client.post(core.CountResult{Call: s.id, Status: logic.OK, Total: total})
+		if total, err := strconv.ParseFloat(string(text), 64); err == nil && !math.IsNaN(total) && !math.IsInf(total, 0) {
+			if s.id != 0 {
+				l.client.post(core.CountResult{Call: s.id, Status: logic.OK, Total: total})
+			}
 			return
 		}
 	}
-	if bytes.Equal(line, []byte("busy")) {
+	switch string(line) {
+	case "busy":
 		l.client.fail(s.id, logic.Full)
-		return
+	case "error":
+		l.client.fail(s.id, logic.Error)
+	case "pong": // a ping's: a call has no such answer
+		l.client.fail(s.id, logic.Reset)
+	default:
+		l.client.fail(s.id, logic.Reset)
+		slog.Warn("the counter's answer cannot be read, connecting anew", "bytes", len(line))
+		l.end()
 	}
-	l.client.fail(s.id, logic.Error)
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	mostCalls, callsSaved = 1.2, 30.0          // counter calls for each request, and at once
 	leastCalling, silence = 0.05, 3            // share of calls made in trouble; failures that show silence
 	callsGrow             = 1.02               // of that share, an answer: one failure in ten is borne
+	lastCall              = time.Second        // without a call at most: a counter that is back must not go unused
 	wholeShare            = 2.0                // of a cap: a share below is too coarse for sums to split
 	turnTime              = 600 * ms           // of turns at a cap: shorter than an aim
 	drawSpan, mostDraws   = 2 * time.Second, 3 // so long a lost slot is missing; draws for one request
@@ -328,11 +329,18 @@
 	}
 	c, r := waiting[0].cust, waiting[0].req
 	if e.Status != OK {
-		// Fewer calls to a counter in trouble, none for a while to a silent one; no crowd afterwards.
-		g.calling = max(0.8*g.calling, leastCalling)
-		if g.failed++; g.failed >= silence {
+		// Fewer calls to a counter in trouble, none for a while to a silent one; no crowd afterwards. A connection
+		// that broke or brought noise says nothing of the counter.
+		if e.Status != Reset {
+			g.calling = max(0.8*g.calling, leastCalling)
+			g.failed++
+		}
+		if g.failed >= silence && e.Status != Reset {
 			g.counterUp = g.now + time.Duration((0.5+g.random())*float64(g.backoff))
-			g.backoff = min(2*g.backoff, 4*time.Second)
+			g.backoff = min(2*g.backoff, lastCall)
+		}
+		if waiting[0].told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
+			c.readAt = g.now + max(g.set.CounterLimit, 3*tick)
 		}
 		g.note("counter", fmt.Sprintf("a call failed (%d), even parts meanwhile", e.Status))
 		if r != nil {
--- a/logic/state.go
+++ b/logic/state.go
@@ -61,6 +61,7 @@
 	cust *customer
 	req  *request // that waits for it; nil: none
 	what int64
+	told bool // it added this gateway's own figures, did not only read
 }
 
 // word is what was heard of a customer's load.
@@ -330,7 +331,7 @@
 
 // call notes a counter call whose answer is due and makes it.
 func (g *Gateway) call(c *customer, name uint64, what int64, amount float64, r *request) {
-	g.calls[name] = append(g.calls[name], call{c, r, what})
+	g.calls[name] = append(g.calls[name], call{c, r, what, amount > 0})
 	g.do(Count{name, amount, 3 * c.span})
 }
 
