--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,7 +30,7 @@
 	mostCalls, callsSaved = 1.2, 30.0          // counter calls for each request, and at once
 	leastCalling, silence = 0.05, 3            // share of calls made in trouble; failures that show silence
 	callsGrow             = 1.02               // of that share, an answer: one failure in ten is borne
-	lastCall              = time.Second        // without a call at most: a counter that is back must not go unused
+	lastCall              = time.Second        // without a call at most: it may be back unseen
 	wholeShare            = 2.0                // of a cap: a share below is too coarse for sums to split
 	turnTime              = 600 * ms           // of turns at a cap: shorter than an aim
 	drawSpan, mostDraws   = 2 * time.Second, 3 // so long a lost slot is missing; draws for one request
