Take a spoilt answer for what it is, early, and let none of its bytes meet the next try

A length that does not fit or a line that never ends held its try until the try's own end (a keyed one: the client's deadline). A bare bulk string or an array of one passed for a value. An idle connection was used again at once, last in first out, so a second copy that came a moment behind an answer was served to the next client: a value made for another request. And onRequest parsed before it took the pool's lock, so bytes already read could meet a flight written meanwhile.

Change: a server's value is an array of three that begins with a bulk string. The rest of an answer has 250 ms from its first byte. A connection rests 20 ms after an answer, and before a write the kernel is asked for unread bytes or an end. onRequest holds the lock from before the first byte.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -22,6 +22,7 @@
 	c := start(t, world{servers: []*server{s}, counter: newCounter(t)}).dial()
 	assert.Equal(t, "+PONG", c.do("PING"))
 	assert.Equal(t, "a pallet", c.do(ask("9b1f03aa5c7e2d41")...))
+	time.Sleep(50 * time.Millisecond) // a connection rests after an answer
 	assert.Equal(t, "a pallet", c.do(post("9b1f03aa5c7e2d42")...))
 	for k, sent := range [][]string{ask("9b1f03aa5c7e2d41"), post("9b1f03aa5c7e2d42")} {
 		got := s.seen()[k]
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -26,6 +26,8 @@
 	defaultIdle = 10 * time.Second       // where the settings name none
 	defaultUp   = 250 * time.Millisecond // likewise, for a connection to come up
 	sweepEvery  = time.Second
+	restFor     = 20 * time.Millisecond  // after an answer: what more a server sends must not meet the next try
+	wholeWithin = 250 * time.Millisecond // of its first byte, or the rest of an answer will not come
 )
 
 // Command is what the origin of a try must offer: its wire form.
@@ -81,7 +83,8 @@
 	parser resp.Parser // owned by the reading side
 	flight *flight     // nil: idle
 	closed bool
-	since  time.Time // idle since
+	since  time.Time   // idle since
+	begun  *time.Timer // ends the wait for the rest of an answer; nil: none has begun
 }
 
 // New makes a pool that holds so many connections at most.
@@ -223,14 +226,19 @@
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
 		return
 	}
-	for n := len(f.target.idle); n > 0; n = len(f.target.idle) {
-		c := f.target.idle[n-1]
-		// Guards against a write that crosses the server's close: it would end as a reset and may have run.
-		if !c.conn.IsActive() || time.Since(c.since) >= p.idle {
+	for n := len(f.target.idle) - 1; n >= 0; n-- {
+		c := f.target.idle[n]
+		rested := time.Since(c.since)
+		if rested < restFor && c.conn.IsActive() {
+			continue
+		}
+		// Guards against a write that crosses the server's close, which would end as a reset and may have run, and
+		// against bytes behind the last answer, which would be taken for this one's.
+		if rested >= p.idle || !socket.Quiet(c.conn) {
 			p.drop(c)
 			continue
 		}
-		f.target.idle = f.target.idle[:n-1]
+		f.target.idle = append(f.target.idle[:n], f.target.idle[n+1:]...)
 		p.write(c, f)
 		return
 	}
@@ -350,6 +358,7 @@
 	}
 	if !c.closed {
 		c.closed = true
+		c.whole()
 		p.open--
 		go c.conn.Close() // its callbacks take the pool's lock
 	}
@@ -368,8 +377,12 @@
 	}
 }
 
-// onRequest reads what a server sends.
+// onRequest reads what a server sends. It holds the lock from before the first byte is taken: what has been read
+// and not yet understood must not meet a flight that is written meanwhile.
 func (c *connection) onRequest(_ context.Context, conn netpoll.Connection) error {
+	p := c.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	r := conn.Reader()
 	b, err := r.Next(r.Len())
 	if err != nil {
@@ -380,18 +393,14 @@
 		return err
 	}
 	reply, ok, err := c.parser.Reply()
-	if err == nil && !ok {
+	f := c.flight
+	if f != nil && err == nil && !ok {
+		c.wait()
 		return nil
 	}
-	p := c.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	f := c.flight
+	c.whole()
 	if f == nil || err != nil { // an answer to nothing, or garbage: it fails this call alone
-		if f != nil {
-			p.finish(core.Outcome{Status: logic.Error}, f)
-		}
-		p.drop(c)
+		c.spoilt()
 		return nil
 	}
 	clean := c.parser.Buffered() == 0
@@ -405,6 +414,39 @@
 	return nil
 }
 
+// wait bounds the time for the rest of an answer. Guards against a length that does not fit and a line that never
+// ends: the server has nothing more to say, and the try would wait for its end.
+func (c *connection) wait() {
+	if c.begun != nil {
+		return
+	}
+	var begun *time.Timer
+	begun = time.AfterFunc(wholeWithin, func() {
+		c.pool.mu.Lock()
+		defer c.pool.mu.Unlock()
+		if c.begun == begun {
+			c.spoilt()
+		}
+	})
+	c.begun = begun
+}
+
+// whole notes that no answer is in the middle.
+func (c *connection) whole() {
+	if c.begun != nil {
+		c.begun.Stop()
+		c.begun = nil
+	}
+}
+
+// spoilt ends a connection that brought what nobody can use, and with it the flight that waited for an answer.
+func (c *connection) spoilt() {
+	if f := c.flight; f != nil {
+		c.pool.finish(core.Outcome{Status: logic.Spoilt}, f)
+	}
+	c.pool.drop(c)
+}
+
 // read turns a server's answer into an outcome.
 func (p *Pool) read(r resp.Reply, probe bool) core.Outcome {
 	switch {
@@ -412,16 +454,10 @@
 		return p.failure(r.Text)
 	case probe && r.Kind == '$' && !r.Null:
 		return core.Outcome{Status: logic.OK, Load: wire.Load(string(r.Text), p.fields)}
-	case r.Kind == '$' && !r.Null:
-		return core.Outcome{Status: logic.OK, Value: r.Text}
-	case r.Kind == '*' && len(r.Elems) > 0 && r.Elems[0].Kind == '$' && !r.Elems[0].Null:
-		o := core.Outcome{Status: logic.OK, Value: r.Elems[0].Text}
-		if len(r.Elems) > 2 && !r.Elems[2].Null {
-			o.Load = wire.Load(string(r.Elems[2].Text), p.fields)
-		}
-		return o
+	case !probe && r.Kind == '*' && len(r.Elems) == 3 && r.Elems[0].Kind == '$' && !r.Elems[0].Null:
+		return core.Outcome{Status: logic.OK, Value: r.Elems[0].Text, Load: wire.Load(string(r.Elems[2].Text), p.fields)}
 	}
-	return core.Outcome{Status: logic.Error}
+	return core.Outcome{Status: logic.Spoilt} // no form that a value has: it may be anything
 }
 
 func (p *Pool) failure(text []byte) core.Outcome {
--- a/logic/api.go
+++ b/logic/api.go
@@ -162,6 +162,7 @@
 	Reset
 	Cancelled
 	Moot
+	Spoilt // an answer came that nobody can use: it may have run
 )
 
 // Outcome ends an attempt (event).
