--- a/logic/logic.go
+++ b/logic/logic.go
@@ -798,8 +798,8 @@
 		if o.Status != Timeout {
 			s.heard = g.now
 		}
-		// A server that turns all away at once looks idle and would draw every request: it is a failing one, too. So
-		// is one that only brings what nobody can use, but now and then that happens to any that works.
+		// A server that turns all away at once looks idle and would draw every request: it is a failing one, too.
+		// So is one that only brings what nobody can use, but now and then that happens to any that works.
 		if s.fails += healthStep / 2 * (1 - s.fails); o.Status != Full && o.Status != Spoilt {
 			s.fails += healthStep / 2 * (1 - s.fails)
 		}
