Keep a firm's last units for what is worth more, and take no moment on the way for a retry

Checked: logic.go arrive() takes a try with less time than the longest seen for a client's retry and cuts its aim by deadline minus time. In the simulator equal times are equal; on sockets each try loses some microseconds on its way, so nearly every one was cut: here from 0.53 s to 0.03 s, which leaves nothing to be held for. Ruled out: the servers' gate (busy 1 to 11 of 24), the counter's calls (28 of 30 saved), probes.

Change: time counts as waited only beyond 20 ms, and only of marked tries where clients mark theirs. Each kind still leaves in order, at the pace.

Both tests fail without the change.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -112,6 +112,38 @@
 	assert.Len(t, s.seen(), 20)
 }
 
+// Of a firm that asks for more than its quota and for requests of both kinds, what is worth less does not take the last units.
+func TestTheLastUnitsAreKeptForWhatIsWorthMore(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["tariffs"] = []object{plan("regular", 0.01, 20, 0)}
+	s := newServer(t, "s-1", "hall-a", value("v"))
+	c := start(t, world{settings: set, servers: []*server{s}}).dial()
+	assert.Equal(t, "v", c.do(post("fe")...))
+	for k := range 50 {
+		c.do(ask(fmt.Sprintf("%02x", k))...)
+	}
+	require.Less(t, len(s.seen()), 20, "units are left")
+	assert.Equal(t, "v", c.do(post("ff")...))
+}
+
+// Clients' times differ by what they took on the way here. That must not be taken for time waited before a retry,
+// which leaves none to be held for.
+func TestAMomentOnTheWayMakesNoRetry(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["tariffs"] = []object{plan("regular", 10, 1, 0)}
+	c := start(t, world{settings: set, servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}}).dial()
+	for _, wait := range []string{"d=2600", "d=2598", "d=2597", "d=2599"} {
+		args := post("01")
+		args[3] = strings.Replace(args[3], "d=6000", wait, 1)
+		c.write(command(args...))
+	}
+	for range 4 {
+		assert.Equal(t, "v", c.answer(), "held for a moment, then served")
+	}
+}
+
 func TestAClientThatLeavesEndsItsTry(t *testing.T) {
 	t.Parallel()
 	s := newServer(t, "s-1", "hall-a", func(net.Conn, []string) {})
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -149,7 +149,9 @@
 	c.waiting = nil
 	if err == nil {
 		c.dialed = time.Time{} // it is there: if this connection breaks, the next is made at once
+		slog.Info("connected to the counter", "addr", addr)
 	} else {
+		slog.Info("cannot connect to the counter", "addr", addr, "err", err)
 		for _, e := range waiting {
 			c.fail(e.Call, logic.ConnectFailed)
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,10 @@
 	thinned               = 0.4                // of a quota, passed with no count to ask: words are late
 	wordLasts             = 8 * time.Second    // that a customer is busy
 	wordsOffered          = 2.0                // by all gateways, over what one takes in
+	keptFrom              = 0.6                // of its part: who asks for more has units kept
+	keptUnits, keptShare  = 2.0, 0.5           // so many at most; of the store
 	freshTime             = 2 * time.Second    // in which a gateway has heard too little
+	onTheWay              = 20 * ms            // between two clients' tries with the same time, in what is left
 
 	healthStep, sick      = 0.2, 0.35                    // newest outcome in failures; more ejects
 	firstEject, lastEject = time.Second, 8 * time.Second // doubled with each failed trial
@@ -129,7 +132,10 @@
 	// A later try has less time than the longest seen: what the client has waited already is the difference.
 	// Clients that give up soon and repeat at once look the same, and rightly: a storm must not starve others.
 	aim := r.class.Aim
-	if !q.OwnWait && r.TTL < g.longest[q.Class] {
+	// So would tries that only took a moment longer on their way here, and those of other clients where later
+	// ones are marked: they are none.
+	g.marked = g.marked || q.Repeat
+	if !q.OwnWait && r.TTL < g.longest[q.Class]-onTheWay && (q.Repeat || !g.marked) {
 		aim -= max(0, r.class.Deadline-r.TTL)
 	}
 	r.stale = aim <= time.Duration(r.fleet.base/2) && r.class.Late < 0.5
@@ -144,7 +150,7 @@
 	g.probesLeft = min(g.probesLeft+mostProbes, 2)
 	g.units += 0.02 * (q.Units - g.units)
 	r.cust = g.customer(r)
-	r.cust.asked += r.demand(g)
+	r.cust.asked, r.cust.best = r.cust.asked+r.demand(g), max(r.cust.best, r.class.Worth)
 	g.admit(r)
 }
 
@@ -524,12 +530,21 @@
 }
 
 // need is what the store must hold for a request; one larger than the store goes when the store is full.
-func (c *customer) need(r *request) float64 { return min(r.Units, c.store()) }
+func (c *customer) need(r *request) float64 { return min(r.Units+c.kept(r), c.store()) }
 
 func (c *customer) fits(r *request, g *Gateway) bool {
 	return c.out < c.slots(g) && (c.plan.Rate <= 0 || c.level >= c.need(r)-1e-9)
 }
 
+// kept is what stays in the store for requests that are worth more. A firm that asks for more than its part
+// gets as many units either way: with some kept, they go to what is worth most. Harm: a burst may end late.
+func (c *customer) kept(r *request) float64 {
+	if r.class.Worth >= c.best || max(c.last, c.asked/c.span.Seconds()) <= keptFrom*c.part {
+		return 0
+	}
+	return min(keptUnits, keptShare*c.store()) * (1 - r.class.Worth/c.best)
+}
+
 // underCeiling is this gateway's own proof that the ceiling holds: its part of rate and store.
 func (c *customer) underCeiling(r *request) bool {
 	return c.plan.CeilingRate <= 0 || c.ceiling >= r.Units
@@ -552,7 +567,8 @@
 		g.finish(r, 0)
 		return
 	}
-	if len(c.held) == 0 && (c.sparse && g.draw(r) || g.pass(r)) {
+	waits := func(h *request) bool { return h.class.Worth >= r.class.Worth }
+	if !slices.ContainsFunc(c.held, waits) && (c.sparse && g.draw(r) || g.pass(r)) {
 		return
 	}
 	if g.beyondPays(r) && c.underCeiling(r) {
@@ -572,7 +588,9 @@
 	var wait float64
 	var held float64
 	for _, h := range c.held {
-		held += h.Units
+		if h.class.Worth >= r.class.Worth { // the others wait behind it
+			held += h.Units
+		}
 	}
 	if c.plan.Rate > 0 {
 		wait = max(0, c.need(r)+held-c.level) / max(c.part, 1e-6)
@@ -619,7 +637,8 @@
 }
 
 // letCustomer refuses held requests without a chance, wherever they stand: an answer that waits for its turn
-// keeps the client from asking elsewhere. Then it releases the others in order, at the pace.
+// keeps the client from asking elsewhere. Then it releases the others in order, at the pace; one that is
+// worth more does not wait behind one that is worth less and needs more in the store.
 func (g *Gateway) letCustomer(c *customer) {
 	c.fill(g.now)
 	for k := len(c.held) - 1; k >= 0; k-- {
@@ -627,18 +646,19 @@
 			g.finish(r, c.span)
 		}
 	}
-	for len(c.held) > 0 {
-		r := c.held[0]
-		if g.now >= c.release && c.sparse && g.draw(r) {
-			c.held = without(c.held, r)
-			continue
-		}
-		if g.now < c.release || !g.pass(r) {
-			return
-		}
-		c.held = c.held[1:]
-		if c.plan.Rate > 0 {
-			c.release = g.now + time.Duration(r.Units*c.spacing()*float64(time.Second))
+	for k, waits := 0, -1.0; k < len(c.held) && g.now >= c.release; {
+		switch r := c.held[k]; {
+		case r.class.Worth <= waits: // behind one that needs no more
+			k++
+		case c.sparse && g.draw(r):
+			c.held, k, waits = without(c.held, r), 0, -1
+		case g.pass(r):
+			c.held, k, waits = without(c.held, r), 0, -1
+			if c.plan.Rate > 0 {
+				c.release = g.now + time.Duration(r.Units*c.spacing()*float64(time.Second))
+			}
+		default:
+			waits, k = r.class.Worth, k+1
 		}
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,6 +51,7 @@
 	asked, last             float64       // demand of this interval and the one before
 	intervals               int
 	drift, spread, forecast float64 // smoothed change, smoothed positive change, f
+	best                    float64 // worth of the best that it has asked for
 	number                  int64   // of the interval
 	told                    float64 // the packed value added, 0: none
 	readAt                  time.Duration
@@ -128,6 +129,7 @@
 	counterUp, backoff time.Duration // no calls before
 	watchAt            time.Duration
 	longest            []time.Duration // of each class: the longest time a client waits
+	marked             bool            // clients mark their later tries here
 	logged             map[string]time.Duration
 }
 
