Owe bad clients an error or an end in time, and close no connection that a command is coming on

It kept for good who said nothing, sent half a command, or sent noise behind a slow request.

Looking for more of the kind: an idle close checked, then flushed, then closed, and a command read in between was taken and lost with the connection; the drain at SIGTERM had the same gap in fill().

Change: terms() is strict. Connections end that bring no whole command, or not the rest, in 2.4 s, or nothing for 20 s, or 64 errors; what waits before an unreadable end has 2 s. Silence counts against a new connection only after 1 s. closeIdle() holds the connection's lock, asks the kernel for unread bytes and refuses to read any more before it closes.

--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -45,6 +45,17 @@
 	os.Exit(code)
 }
 
+// look guards against a verdict of go test's cache that is older than the program, which is built out of its sight:
+// what a test has looked at counts there, so the tests look at the sources.
+var look = sync.OnceFunc(func() {
+	for _, sources := range []string{"../../go.*", "../../logic/*.go", "../../internal/*/*.go", "*.go"} {
+		files, _ := filepath.Glob(sources)
+		for _, f := range files {
+			_, _ = os.Stat(f)
+		}
+	}
+})
+
 type object = map[string]any
 
 // settings are those of a small deployment: two classes, one plan with a large quota and one with a ceiling.
@@ -134,6 +145,7 @@
 // start runs a limiter in a world. It is killed at the test's end unless it has ended before.
 func start(t *testing.T, w world) *limiter {
 	t.Helper()
+	look()
 	if w.settings == nil {
 		w.settings = settings()
 	}
--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -105,6 +105,7 @@
 		}
 		defer service.stop()
 	}
+	go front.Run(ctx)
 	slog.Info("serving", "name", cfg.Name, "listen", at)
 
 	for s := range signals {
--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -52,6 +52,7 @@
 
 func TestBadCommands(t *testing.T) {
 	t.Parallel()
+	const terms = "c=balance-read,t=regular,d=400"
 	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}})
 	for name, text := range map[string]string{
 		"class":    command("Q.ASK", firm, "01", "c=nothing,t=regular,d=400"),
@@ -62,6 +63,19 @@
 		"units":    command("Q.ASK", firm, "01", "c=balance-read,t=regular,d=400,units=nan"),
 		"verb":     command("Q.ASK", firm, "01", "c=transfer-post,t=regular,d=400"),
 		"short":    command("Q.ASK", firm),
+		"no id":    command("Q.ASK", firm, "", terms),
+		"long id":  command("Q.ASK", firm, strings.Repeat("0", 65), terms),
+		"digits":   command("Q.ASK", "b4d65521", "01", terms),
+		"firm":     command("Q.ASK", "0000000200000000", "01", terms),
+		"body":     command("Q.ASK", firm, "01", terms, "BODY"),
+		"forever":  command("Q.ASK", firm, "01", "c=balance-read,t=regular,d=inf"),
+		"none":     command("Q.ASK", firm, "01", terms+",units=0"),
+		"many":     command("Q.ASK", firm, "01", terms+",units=1.5"),
+		"no set":   command("Q.ASK", firm, "01", terms+",spread=0"),
+		"wide set": command("Q.ASK", firm, "01", terms+",spread=2"),
+		"far set":  command("Q.ASK", firm, "01", terms+",first=-1"),
+		"twice":    command("Q.ASK", firm, "01", terms+",c=balance-read"),
+		"no key":   command("Q.DO", firm, "01", "c=transfer-post,t=regular,d=400", "BODY"),
 		"unknown":  command("FLUSHALL"),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -69,7 +83,7 @@
 			c := l.dial()
 			c.write(text)
 			assert.Regexp(t, "^-ERR ", c.answer())
-			assert.Equal(t, "v", c.do(ask("02")...), "the connection goes on")
+			assert.Equal(t, "v", c.do(ask(fmt.Sprintf("%x", name))...), "the connection goes on")
 		})
 	}
 	for name, text := range map[string]string{
@@ -91,6 +105,42 @@
 	}
 }
 
+// A server takes a second request with an open one's id for a copy of it: it is the sender's error.
+func TestAnOpenIDIsNotUsedTwice(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		<-release
+		value("v")(conn, args)
+	})
+	l := start(t, world{servers: []*server{s}})
+	first, second := l.dial(), l.dial()
+	first.write(command(ask("01")...))
+	require.Eventually(t, func() bool { return len(s.seen()) == 1 }, patience, time.Millisecond)
+	assert.Regexp(t, "^-ERR ", second.do(ask("01")...))
+	close(release)
+	assert.Equal(t, "v", first.answer())
+	assert.Equal(t, "v", second.do(ask("01")...), "it is open no longer")
+}
+
+// Whoever says nothing, or half a command, or nothing that can be read behind what waits, is not kept.
+func TestConnectionsThatBringNothingEnd(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, "s-1", "hall-a", func(net.Conn, []string) {})
+	l := start(t, world{servers: []*server{s}})
+	silent, half, noise := l.dial(), l.dial(), l.dial()
+	half.write(command("PING") + command(ask("01")...)[:20])
+	noise.write(command(post("02")...) + "noise\r\n")
+	silent.ended()
+	assert.Equal(t, "+PONG", half.answer())
+	assert.Regexp(t, "^-ERR ", half.answer())
+	half.ended()
+	assert.Equal(t, "-ERR failed", noise.answer())
+	assert.Equal(t, "-ERR Protocol error", noise.answer())
+	noise.ended()
+	await(t, s.left, "the try's connection to close")
+}
+
 // A firm may send on its burst; beyond it the answer is a refusal with a time to come back, at once: no timer of
 // the request's own has to ring for it.
 func TestQuotaAndRefusal(t *testing.T) {
@@ -134,8 +184,8 @@
 	set := settings()
 	set["tariffs"] = []object{plan("regular", 10, 1, 0)}
 	c := start(t, world{settings: set, servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}}).dial()
-	for _, wait := range []string{"d=2600", "d=2598", "d=2597", "d=2599"} {
-		args := post("01")
+	for k, wait := range []string{"d=2600", "d=2598", "d=2597", "d=2599"} {
+		args := post(fmt.Sprintf("%02x", k))
 		args[3] = strings.Replace(args[3], "d=6000", wait, 1)
 		c.write(command(args...))
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -25,9 +26,20 @@
 
 const (
 	drainGrace  = 450 * time.Millisecond // clients hear of a planned restart so late
-	mostWaiting = 1024                   // commands on one connection without an answer yet
-	defaultOpen = 16384                  // requests in hand at once, where the settings name no number
-	mostHeld    = 48 << 20               // bytes of their commands: a body may be 64 KiB
+	drainEvery  = 10 * time.Millisecond
+	mostWaiting = 1024     // commands on one connection without an answer yet
+	defaultOpen = 16384    // requests in hand at once, where the settings name no number
+	mostHeld    = 48 << 20 // bytes of their commands: a body may be 64 KiB
+	mostErrors  = 64       // of one connection: who sends nothing else is not worth it
+	mostID      = 64       // bytes of a request's id
+	firms       = 1 << 33  // customers are numbers below this
+
+	sweepEvery = 250 * time.Millisecond
+	firstWord  = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
+	longIdle   = 20 * time.Second        // between commands
+
+	aboutToSpeak = time.Second
+	lastWord     = 2 * time.Second // for what waits before the end of a connection that cannot be read
 )
 
 // Owner takes the events of the front.
@@ -40,30 +52,31 @@
 // Front listens for client connections.
 type Front struct {
 	owner   Owner
+	set     logic.Settings
 	classes map[string]int
 	plans   map[string]int
-	effects []logic.Effect
 	most    int // client connections
 	open    int // request contexts
 
 	listener netpoll.Listener
 	held     atomic.Int64 // bytes of commands in hand
-	draining atomic.Bool
 
 	mu      sync.Mutex // taken before a client connection's, never inside it
 	clients map[*clientConnection]struct{}
+
+	idsMu sync.Mutex
+	ids   map[string]struct{} // of the requests in hand
 }
 
 // New makes a front for the settings' classes and plans that holds so many client connections at most.
 func New(set logic.Settings, owner Owner, most int) *Front {
-	f := &Front{owner: owner, classes: map[string]int{}, plans: map[string]int{}, most: most, open: defaultOpen,
-		clients: map[*clientConnection]struct{}{}}
+	f := &Front{owner: owner, set: set, classes: map[string]int{}, plans: map[string]int{}, most: most, open: defaultOpen,
+		clients: map[*clientConnection]struct{}{}, ids: map[string]struct{}{}}
 	if set.MaxOpen > 0 {
 		f.open = min(set.MaxOpen, 2*defaultOpen)
 	}
 	for k, c := range set.Classes {
 		f.classes[c.Name] = k
-		f.effects = append(f.effects, c.Effect)
 	}
 	for k, p := range set.Plans {
 		f.plans[p.Name] = k
@@ -90,6 +103,32 @@
 	return l.Addr(), nil
 }
 
+// Run closes client connections that say nothing, until the context ends.
+func (f *Front) Run(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, c := range f.all() {
+				c.tend(now)
+			}
+		}
+	}
+}
+
+func (f *Front) all() []*clientConnection {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]*clientConnection, 0, len(f.clients))
+	for c := range f.clients {
+		all = append(all, c)
+	}
+	return all
+}
+
 // Drain ends the front at a planned restart: new connections are taken for a little longer, then each
 // connection is closed as soon as nothing is owed on it.
 func (f *Front) Drain() {
@@ -98,16 +137,13 @@
 	if err := syscall.Shutdown(f.listener.Fd(), syscall.SHUT_RDWR); err != nil {
 		slog.Warn("cannot stop listening", "err", err)
 	}
-	f.draining.Store(true)
-	f.mu.Lock()
-	all := make([]*clientConnection, 0, len(f.clients))
-	for c := range f.clients {
-		all = append(all, c)
-	}
-	f.mu.Unlock()
-	for _, c := range all {
-		c.closeIfIdle()
-	}
+	go func() {
+		for ; f.Clients() > 0; time.Sleep(drainEvery) {
+			for _, c := range f.all() {
+				c.closeIdle()
+			}
+		}
+	}()
 }
 
 // Clients is how many client connections are open.
@@ -120,7 +156,8 @@
 type clientKey struct{}
 
 func (f *Front) accept(conn netpoll.Connection) context.Context {
-	c := &clientConnection{front: f, conn: conn, out: socket.NewOutbox(conn), usedAt: time.Now()}
+	now := time.Now()
+	c := &clientConnection{front: f, conn: conn, out: socket.NewOutbox(conn), usedAt: now}
 	f.mu.Lock()
 	full := len(f.clients) >= f.most
 	f.clients[c] = struct{}{}
@@ -135,22 +172,32 @@
 	return context.WithValue(context.Background(), clientKey{}, c)
 }
 
-// evict closes the client connection that has been idle longest: the descriptors are needed for the servers,
-// too. If a command crosses the close, its client sends it again.
+// evict closes the client connection that has been idle longest, those first that have been silent since they came
+// and for a while: the descriptors are needed for the servers, too. If a command crosses the close, its client sends
+// it again; one that has just come is about to speak.
 func (f *Front) evict(newest *clientConnection) {
-	f.mu.Lock()
-	var oldest *clientConnection
-	var at time.Time
-	for c := range f.clients {
-		if used, idle := c.idleSince(); idle && c != newest && (oldest == nil || used.Before(at)) {
-			oldest, at = c, used
+	oldest := newest // if all are busy: it has been promised nothing yet
+	var best time.Time
+	for _, c := range f.all() {
+		i := c.idle()
+		if !i.spoke && time.Since(i.since) > aboutToSpeak {
+			i.since = i.since.Add(-longIdle)
+		}
+		if i.is && c != newest && (oldest == newest || i.since.Before(best)) {
+			oldest, best = c, i.since
 		}
 	}
-	f.mu.Unlock()
-	if oldest == nil {
-		oldest = newest // all are busy: the newest has been promised nothing yet
+	if oldest == newest {
+		oldest.out.CloseAfter()
+		return
 	}
-	oldest.out.CloseAfter()
+	oldest.closeIdle()
+}
+
+// idleness is how little a client connection is used.
+type idleness struct {
+	is, spoke bool // nothing is owed on it; it has brought a whole command
+	since     time.Time
 }
 
 // clientConnection is one connection of a client.
@@ -164,7 +211,12 @@
 	slots   []*slot             // commands whose answers are due, in their order
 	waiting map[uint64]*request // request contexts without an answer
 	partial bool                // a command has come in part
+	reading bool                // bytes are taken and not handled yet
+	spoke   bool                // a whole one has come
+	errors  int
 	usedAt  time.Time
+	partAt  time.Time // since when a command has come in part
+	deafAt  time.Time // since when nothing more is read
 	gone    bool
 	ending  bool // framing is lost, or the client asked for the end: nothing more is read
 }
@@ -178,15 +230,28 @@
 
 func onRequest(ctx context.Context, conn netpoll.Connection) error {
 	c := ctx.Value(clientKey{}).(*clientConnection)
-	r := conn.Reader()
-	b, err := r.Next(r.Len())
-	if err != nil {
-		return err
-	}
 	now := time.Now()
 	c.mu.Lock()
 	ending := c.ending
+	c.reading = true
 	c.mu.Unlock()
+	err := c.read(conn.Reader(), ending, now)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if partial := c.parser.Buffered() > 0; partial != c.partial {
+		c.partial, c.partAt = partial, now
+	}
+	return err
+}
+
+// read takes the bytes that have come and handles the commands that are whole. When the connection is ending it only
+// makes room for more.
+func (c *clientConnection) read(r netpoll.Reader, ending bool, now time.Time) error {
+	b, err := r.Next(r.Len())
+	if err != nil {
+		return err
+	}
 	if !ending {
 		c.parser.Feed(b)
 	}
@@ -196,17 +261,14 @@
 	for !ending {
 		args, ok, err := c.parser.Command()
 		if err != nil {
-			c.reply([]byte("-ERR "+err.Error()+"\r\n"), true)
+			c.refuse(err.Error(), true)
 			return nil
 		}
 		if !ok {
-			break
+			return nil
 		}
 		ending = c.command(args, now)
 	}
-	c.mu.Lock()
-	c.partial = c.parser.Buffered() > 0
-	c.mu.Unlock()
 	return nil
 }
 
@@ -217,7 +279,7 @@
 	}
 	switch name := string(bytes.ToUpper(args[0])); name {
 	case "Q.ASK", "Q.DO":
-		c.take(name, args, now)
+		return c.take(name, args, now)
 	case "PING":
 		c.reply([]byte("+PONG\r\n"), false)
 	case "CLIENT", "SELECT":
@@ -226,16 +288,26 @@
 		c.reply([]byte("+OK\r\n"), true)
 		return true
 	default:
-		c.reply([]byte("-ERR unknown command\r\n"), false)
+		return c.refuse("unknown command", false)
 	}
 	return false
 }
 
+// refuse answers what cannot be used. It tells whether the connection ends with it.
+func (c *clientConnection) refuse(why string, last bool) bool {
+	c.mu.Lock()
+	c.errors++
+	last = last || c.errors >= mostErrors
+	c.mu.Unlock()
+	c.reply([]byte("-ERR "+why+"\r\n"), last)
+	return last
+}
+
 // place adds the slot of a command's answer; nil if the client waits for too many.
 func (c *clientConnection) place() *slot {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.usedAt = time.Now()
+	c.usedAt, c.spoke = time.Now(), true
 	if len(c.slots) >= mostWaiting { // a client that only writes must not fill the memory
 		c.ending = true
 		go c.conn.Close()
@@ -259,8 +331,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s.answer, s.done = answer, true
-	if s.last {
-		c.ending = true
+	if s.last && !c.ending {
+		c.ending, c.deafAt = true, time.Now()
 	}
 	for len(c.slots) > 0 && c.slots[0].done {
 		s := c.slots[0]
@@ -276,20 +348,53 @@
 		}
 	}
 	c.usedAt = time.Now()
-	if len(c.slots) == 0 && c.front.draining.Load() {
-		c.out.CloseAfter()
-	}
 }
 
-func (c *clientConnection) idleSince() (time.Time, bool) {
+func (c *clientConnection) idle() idleness {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.usedAt, len(c.slots) == 0 && !c.partial && c.conn.Reader().Len() == 0
+	return idleness{len(c.slots) == 0 && !c.partial, c.spoke, c.usedAt}
 }
 
-func (c *clientConnection) closeIfIdle() {
-	if _, idle := c.idleSince(); idle {
-		c.out.CloseAfter()
+// closeIdle closes the connection if nothing is owed on it. Guards against a command that comes meanwhile: up to the
+// last moment the kernel is asked for one, and what comes after that is not read, so that its client sends it again.
+func (c *clientConnection) closeIdle() {
+	c.mu.Lock()
+	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending && c.out.Empty() && socket.Quiet(c.conn)
+	c.ending = c.ending || idle
+	c.mu.Unlock()
+	if idle {
+		_ = c.conn.Close()
+	}
+}
+
+// tend ends what a client keeps open without a word: a connection that brings no whole command, or not the rest of
+// one, and one that nobody uses any more. Guards the descriptors; such a client is owed an end in time.
+func (c *clientConnection) tend(now time.Time) {
+	c.mu.Lock()
+	part, ending := c.partial && !c.ending && now.Sub(c.partAt) >= firstWord, c.ending && now.Sub(c.deafAt) >= lastWord
+	c.mu.Unlock()
+	switch i := c.idle(); {
+	case ending:
+		c.abandon()
+	case part:
+		c.refuse("the rest of the command did not come", true)
+	case i.is && (!i.spoke && now.Sub(i.since) >= firstWord || now.Sub(i.since) >= longIdle):
+		c.closeIdle()
+	}
+}
+
+// abandon gives up what waits before the end of a connection that cannot be read any more: the error is due.
+func (c *clientConnection) abandon() {
+	c.mu.Lock()
+	waiting := make([]*request, 0, len(c.waiting))
+	for _, r := range c.waiting {
+		waiting = append(waiting, r)
+	}
+	c.mu.Unlock()
+	for _, r := range waiting {
+		c.front.owner.Post(core.ClientGone{ID: r.id})
+		r.Failed()
 	}
 }
 
@@ -304,7 +409,7 @@
 	c.waiting = nil
 	c.mu.Unlock()
 	for id, r := range waiting {
-		c.front.held.Add(-r.size)
+		c.front.release(r)
 		c.front.owner.Post(core.ClientGone{ID: id})
 	}
 }
@@ -319,24 +424,24 @@
 	wait   [2]int   // where in the terms the digits of d stand
 }
 
-func (c *clientConnection) take(name string, args [][]byte, now time.Time) {
+// take hands a request context in. It tells whether the connection ends with it.
+func (c *clientConnection) take(name string, args [][]byte, now time.Time) (last bool) {
 	r := &request{client: c, args: args}
 	q, err := c.front.terms(name, args, r)
 	if err != nil {
-		c.reply([]byte("-ERR "+err.Error()+"\r\n"), false)
-		return
+		return c.refuse(err.Error(), false)
 	}
 	if c.front.owner.Open() >= c.front.open || c.front.held.Load() >= mostHeld { // guards the memory in a flood; the module sees none of it
 		c.reply([]byte("-BUSY 1000\r\n"), false)
-		return
+		return false
 	}
-	if r.slot = c.place(); r.slot == nil {
-		return
+	if !c.front.hold(r) {
+		return c.refuse("a request with this id is open", false)
 	}
-	for _, a := range args {
-		r.size += int64(len(a))
+	if r.slot = c.place(); r.slot == nil {
+		c.front.release(r)
+		return true
 	}
-	c.front.held.Add(r.size)
 	r.id = c.front.owner.ID()
 	q.ID = r.id
 	if q.TTL -= time.Since(now); q.TTL <= 0 {
@@ -349,18 +454,47 @@
 	c.waiting[r.id] = r
 	c.mu.Unlock()
 	c.front.owner.Post(core.RequestContext{Request: q, Origin: r})
+	return false
+}
+
+// hold books a request's bytes and its id. Guards against a second request with the id of one that is open: a
+// server would take it for a second copy of the first.
+func (f *Front) hold(r *request) bool {
+	f.idsMu.Lock()
+	defer f.idsMu.Unlock()
+	id := string(r.args[2])
+	if _, open := f.ids[id]; open {
+		return false
+	}
+	f.ids[id] = struct{}{}
+	for _, a := range r.args {
+		r.size += int64(len(a))
+	}
+	f.held.Add(r.size)
+	return true
+}
+
+func (f *Front) release(r *request) {
+	f.held.Add(-r.size)
+	f.idsMu.Lock()
+	defer f.idsMu.Unlock()
+	delete(f.ids, string(r.args[2]))
 }
 
 // terms reads a request's words. What it cannot read is the client's error and costs nobody else anything.
 func (f *Front) terms(name string, args [][]byte, r *request) (q logic.Request, err error) {
-	if len(args) < 4 || len(args) > 5 {
+	if len(args) < 4 || len(args) > 5 || name == "Q.ASK" && len(args) > 4 {
 		return q, fmt.Errorf("wrong number of arguments for %s", name)
 	}
-	if q.Customer, err = strconv.ParseUint(string(args[1]), 16, 64); err != nil {
-		return q, fmt.Errorf("customer is not a hex number")
+	if q.Customer, err = strconv.ParseUint(string(args[1]), 16, 64); err != nil || len(args[1]) != 16 || q.Customer >= firms {
+		return q, fmt.Errorf("customer is not 16 hex digits of a number below 2^33")
+	}
+	if len(args[2]) == 0 || len(args[2]) > mostID || bytes.ContainsFunc(args[2], unprintable) {
+		return q, fmt.Errorf("an id of 1 to %d printable characters is needed", mostID)
 	}
 	q.Class, q.Plan, q.Units, q.Spread = -1, -1, 1, 1
-	ms, known := -1.0, true
+	ms, known, keyed := -1.0, true, false
+	var seen []string
 	for at := 0; at <= len(args[3]); {
 		end := bytes.IndexByte(args[3][at:], ',')
 		if end < 0 {
@@ -368,6 +502,10 @@
 		}
 		pair := args[3][at : at+end]
 		key, value, _ := bytes.Cut(pair, []byte{'='})
+		if slices.Contains(seen, string(key)) { // a server may read the other one
+			return q, fmt.Errorf("%q stands twice", key)
+		}
+		seen = append(seen, string(key))
 		switch text := string(value); string(key) {
 		case "c":
 			q.Class, known = index(f.classes, text, known)
@@ -382,6 +520,8 @@
 			q.Spread, err = strconv.Atoi(text)
 		case "first":
 			q.First, err = strconv.Atoi(text)
+		case "k":
+			keyed = text != ""
 		case "r":
 			q.Repeat = text == "1"
 		}
@@ -390,16 +530,29 @@
 		}
 		at += end + 1
 	}
-	if !known || q.Class < 0 || q.Plan < 0 || !(ms > 0) || !(q.Units >= 0) || math.IsInf(q.Units, 0) {
+	if !known || q.Class < 0 || q.Plan < 0 || !(ms > 0) || math.IsInf(ms, 0) {
 		return q, fmt.Errorf("a known c and t, and d over 0, are needed")
 	}
-	if safe := f.effects[q.Class] == logic.Safe; safe != (name == "Q.ASK") {
+	if !(q.Units > 0) || q.Units > max(f.set.MostUnits, 1) {
+		return q, fmt.Errorf("units are out of range")
+	}
+	if q.Spread < 1 || q.Spread > f.set.Gateways || q.First < 0 || q.First >= f.set.Gateways {
+		return q, fmt.Errorf("spread or first is out of range")
+	}
+	class := f.set.Classes[q.Class]
+	if (class.Effect == logic.Safe) != (name == "Q.ASK") {
 		return q, fmt.Errorf("%s does not serve this class", name)
 	}
-	q.TTL = time.Duration(min(ms, 3600e3) * float64(time.Millisecond))
+	if class.Effect == logic.Keyed && !keyed {
+		return q, fmt.Errorf("this class needs k")
+	}
+	// Nobody waits for longer than the class allows: who says so must not hold a place here for hours.
+	q.TTL = min(time.Duration(min(ms, 3600e3)*float64(time.Millisecond)), class.Deadline)
 	return q, nil
 }
 
+func unprintable(r rune) bool { return r <= ' ' || r > '~' }
+
 func index(names map[string]int, name string, known bool) (int, bool) {
 	k, ok := names[name]
 	return k, ok && known
@@ -418,11 +571,13 @@
 
 func (r *request) finish(answer []byte) {
 	r.client.mu.Lock()
-	if _, ok := r.client.waiting[r.id]; ok {
-		delete(r.client.waiting, r.id)
-		r.client.front.held.Add(-r.size)
-	}
+	_, waits := r.client.waiting[r.id]
+	delete(r.client.waiting, r.id)
 	r.client.mu.Unlock()
+	if !waits { // its client has gone, or was told that it is given up
+		return
+	}
+	r.client.front.release(r)
 	r.client.fill(r.slot, answer)
 }
 
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -53,6 +53,13 @@
 	return nil
 }
 
+// Empty tells whether all that was queued has been written.
+func (o *Outbox) Empty() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.waiting) == 0 && !o.flushing
+}
+
 // CloseAfter closes the connection when all that is queued has been written.
 func (o *Outbox) CloseAfter() {
 	o.mu.Lock()
