Write to a connection only under netpoll's own lock, so that no write meets a close

Cause: Writer().WriteBinary takes no lock. Only Flush and Write take 'flushing', which the closer's finalizer waits for (stop(flushing)) before it frees the operator, the descriptor and both buffers. A peer's reset between WriteBinary and Flush freed the pooled output buffer under the writer; the next owner of its nodes could have got foreign bytes. Change: socket.Conn is the one way to use a netpoll connection. Write goes through netpoll's own Write, which puts the bytes in and sends them under 'flushing': the closer frees after it, or the lock is gone for good and nothing is written. Bytes are read inside the ready callback alone ('processing' keeps the closer out). Kin that were mended: Quiet asked the kernel about a descriptor that might be closed and used again (now under a lock that the close callback takes first); a client connection refused in OnPrepare was closed from a goroutine that raced with its registration (now shut down, the poller closes it); discovery's net/http closed netpoll connections while it read from them (now the standard library's).

--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -17,6 +17,7 @@
 	"bramblefall/internal/core"
 	"bramblefall/internal/counter"
 	"bramblefall/internal/discovery"
+	"bramblefall/internal/lastwords"
 	"bramblefall/internal/loop"
 	"bramblefall/internal/platform"
 	"bramblefall/internal/ratelimit"
@@ -34,6 +35,7 @@
 )
 
 func main() {
+	defer lastwords.Guard()
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblefall:", err)
 		os.Exit(1)
@@ -90,10 +92,9 @@
 	}
 	owner.Connect(callers, counts, list)
 	list.Known(cfg.Known)
-	go owner.Run(ctx)
-	go pool.Run(ctx)
-	go counts.Run(ctx)
-	go list.Run(ctx)
+	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
+		lastwords.Go(func() { run(ctx) })
+	}
 	front := platform.New(cfg.settings, owner, most-most/2)
 	at, err := front.Listen(cfg.Listen)
 	if err != nil {
@@ -105,7 +106,7 @@
 		}
 		defer service.stop()
 	}
-	go front.Run(ctx)
+	lastwords.Go(func() { front.Run(ctx) })
 	slog.Info("serving", "name", cfg.Name, "listen", at)
 
 	for s := range signals {
@@ -124,12 +125,12 @@
 	ended := time.After(lastAnswers)
 	slog.Info("draining", "open", owner.Open())
 	drained := make(chan struct{})
-	go func() {
+	lastwords.Go(func() {
 		defer close(drained)
 		if service != nil {
 			service.front.Drain()
 		}
-	}()
+	})
 	front.Drain()
 	finish(owner, front, drained, ended)
 	return nil
--- a/cmd/bramblefall/ratelimit.go
+++ b/cmd/bramblefall/ratelimit.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 
+	"bramblefall/internal/lastwords"
 	"bramblefall/internal/loop"
 	"bramblefall/internal/ratelimit"
 	"bramblefall/internal/xds"
@@ -66,7 +67,7 @@
 		if err := r.group.Load(); err != nil {
 			return err
 		}
-		go r.group.Run(ctx)
+		lastwords.Go(func() { r.group.Run(ctx) })
 	}
 	at, err := r.front.Listen(r.Listen)
 	if err != nil {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -10,9 +10,8 @@
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"bramblefall/internal/core"
+	"bramblefall/internal/lastwords"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
 )
@@ -46,7 +45,7 @@
 type link struct {
 	client *Client
 	addr   string
-	conn   netpoll.Connection
+	conn   *socket.Conn
 	out    *socket.Outbox
 	buf    []byte // owned by the reading side
 	sent   []call
@@ -107,7 +106,8 @@
 	}
 	if c.addr != "" && (c.link == nil || c.link.addr != c.addr) && !c.dialing && time.Since(c.dialed) > redialEvery {
 		c.dialing, c.dialed = true, time.Now()
-		go c.dial(c.addr)
+		addr := c.addr
+		lastwords.Go(func() { c.dial(addr) })
 	}
 }
 
@@ -140,7 +140,7 @@
 	c.dialing = false
 	if addr != c.addr { // moved meanwhile
 		if err == nil {
-			go conn.Close()
+			lastwords.Go(conn.Close)
 		}
 		c.tend()
 		return
@@ -159,14 +159,7 @@
 	}
 	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn), wrote: time.Now()}
 	c.replace(l)
-	_ = conn.SetOnRequest(l.onRequest)
-	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
-		go l.closed()
-		return nil
-	})
-	if !conn.IsActive() {
-		go l.closed()
-	}
+	conn.Serve(l.onRequest, l.closed)
 	for _, e := range waiting {
 		l.add(e)
 	}
@@ -223,7 +216,7 @@
 		l.client.fail(s.id, logic.Reset)
 	}
 	l.sent = nil
-	go l.conn.Close()
+	lastwords.Go(l.conn.Close)
 	l.client.tend()
 }
 
@@ -233,15 +226,9 @@
 	l.end()
 }
 
-func (l *link) onRequest(_ context.Context, conn netpoll.Connection) error {
-	r := conn.Reader()
-	b, err := r.Next(r.Len())
-	if err != nil {
-		return err
-	}
-	l.buf = append(l.buf, b...)
-	if err := r.Release(); err != nil {
-		return err
+func (l *link) onRequest() {
+	if l.conn.Take(func(b []byte) { l.buf = append(l.buf, b...) }) != nil {
+		return
 	}
 	l.client.mu.Lock()
 	defer l.client.mu.Unlock()
@@ -260,7 +247,6 @@
 	if !begins(l.buf) {
 		l.end()
 	}
-	return nil
 }
 
 // begins tells whether bytes may be the start of an answer. Guards against noise whose end never comes.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/socket"
+	"bramblefall/internal/lastwords"
 	"bramblefall/internal/wire"
 	"bramblefall/logic"
 )
@@ -70,7 +70,8 @@
 
 // New makes a client of discovery at an address.
 func New(addr string, set logic.Settings, book Addresses, post func(core.Event)) *Client {
-	dial := func(_ context.Context, _, addr string) (net.Conn, error) { return socket.Dial(addr, dialLimit) }
+	// The standard library's connections: net/http closes one while it reads from it, which netpoll's do not bear.
+	dial := (&net.Dialer{Timeout: dialLimit}).DialContext
 	return &Client{addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
 		fetch: make(chan struct{}, 1),
 		http:  http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}}
@@ -100,7 +101,7 @@
 
 // Run follows the list until the context ends. Where a watch breaks it begins the next from the last version.
 func (c *Client) Run(ctx context.Context) {
-	go c.fetches(ctx)
+	lastwords.Go(func() { c.fetches(ctx) })
 	retry := firstRetry
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -158,7 +159,7 @@
 func (c *Client) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(silence, cancel)
+	watchdog := lastwords.AfterFunc(silence, cancel)
 	defer watchdog.Stop()
 	c.mu.Lock()
 	path := c.addr + "/registry/instances?watch=1&from=" + strconv.FormatInt(c.version, 10)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -19,6 +19,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/lastwords"
 	"bramblefall/internal/resp"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
@@ -91,15 +92,15 @@
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	f.listener = l
-	events, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept))
+	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(f.accept))
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
-	go func() {
+	lastwords.Go(func() {
 		if err := events.Serve(l); err != nil {
 			slog.Debug("clients' listener ended", "err", err)
 		}
-	}()
+	})
 	return l.Addr(), nil
 }
 
@@ -137,13 +138,13 @@
 	if err := syscall.Shutdown(f.listener.Fd(), syscall.SHUT_RDWR); err != nil {
 		slog.Warn("cannot stop listening", "err", err)
 	}
-	go func() {
+	lastwords.Go(func() {
 		for ; f.Clients() > 0; time.Sleep(drainEvery) {
 			for _, c := range f.all() {
 				c.closeIdle()
 			}
 		}
-	}()
+	})
 }
 
 // Clients is how many client connections are open.
@@ -153,10 +154,9 @@
 	return len(f.clients)
 }
 
-type clientKey struct{}
-
-func (f *Front) accept(conn netpoll.Connection) context.Context {
-	now := time.Now()
+func (f *Front) accept(raw netpoll.Connection) context.Context {
+	defer lastwords.Guard()
+	now, conn := time.Now(), socket.Wrap(raw)
 	c := &clientConnection{front: f, conn: conn, out: socket.NewOutbox(conn), usedAt: now}
 	f.mu.Lock()
 	full := len(f.clients) >= f.most
@@ -165,11 +165,8 @@
 	if full {
 		f.evict(c)
 	}
-	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
-		c.closed()
-		return nil
-	})
-	return context.WithValue(context.Background(), clientKey{}, c)
+	conn.Serve(c.ready, c.closed)
+	return context.Background()
 }
 
 // evict closes the client connection that has been idle longest, those first that have been silent since they came
@@ -188,7 +185,10 @@
 		}
 	}
 	if oldest == newest {
-		oldest.out.CloseAfter()
+		newest.mu.Lock()
+		newest.ending, newest.deafAt = true, time.Now() // a command that came with it is not read
+		newest.mu.Unlock()
+		newest.conn.Refuse()
 		return
 	}
 	oldest.closeIdle()
@@ -203,7 +203,7 @@
 // clientConnection is one connection of a client.
 type clientConnection struct {
 	front  *Front
-	conn   netpoll.Connection
+	conn   *socket.Conn
 	out    *socket.Outbox
 	parser resp.Parser // owned by the reading side
 
@@ -228,48 +228,41 @@
 	last   bool // the connection closes after it
 }
 
-func onRequest(ctx context.Context, conn netpoll.Connection) error {
-	c := ctx.Value(clientKey{}).(*clientConnection)
+// ready is told when bytes have come.
+func (c *clientConnection) ready() {
 	now := time.Now()
 	c.mu.Lock()
 	ending := c.ending
 	c.reading = true
 	c.mu.Unlock()
-	err := c.read(conn.Reader(), ending, now)
+	c.read(ending, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
 	if partial := c.parser.Buffered() > 0; partial != c.partial {
 		c.partial, c.partAt = partial, now
 	}
-	return err
 }
 
 // read takes the bytes that have come and handles the commands that are whole. When the connection is ending it only
 // makes room for more.
-func (c *clientConnection) read(r netpoll.Reader, ending bool, now time.Time) error {
-	b, err := r.Next(r.Len())
-	if err != nil {
-		return err
-	}
-	if !ending {
-		c.parser.Feed(b)
-	}
-	if err := r.Release(); err != nil {
-		return err
-	}
-	for !ending {
+func (c *clientConnection) read(ending bool, now time.Time) {
+	err := c.conn.Take(func(b []byte) {
+		if !ending {
+			c.parser.Feed(b)
+		}
+	})
+	for err == nil && !ending {
 		args, ok, err := c.parser.Command()
 		if err != nil {
 			c.refuse(err.Error(), true)
-			return nil
+			return
 		}
 		if !ok {
-			return nil
+			return
 		}
 		ending = c.command(args, now)
 	}
-	return nil
 }
 
 // command handles one command. It tells whether the connection ends with it.
@@ -310,7 +303,7 @@
 	c.usedAt, c.spoke = time.Now(), true
 	if len(c.slots) >= mostWaiting { // a client that only writes must not fill the memory
 		c.ending = true
-		go c.conn.Close()
+		lastwords.Go(c.conn.Close)
 		return nil
 	}
 	s := &slot{}
@@ -360,11 +353,11 @@
 // last moment the kernel is asked for one, and what comes after that is not read, so that its client sends it again.
 func (c *clientConnection) closeIdle() {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending && c.out.Empty() && socket.Quiet(c.conn)
+	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending && c.out.Empty() && c.conn.Quiet()
 	c.ending = c.ending || idle
 	c.mu.Unlock()
 	if idle {
-		_ = c.conn.Close()
+		c.conn.Close()
 	}
 }
 
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/lastwords"
 	"bramblefall/logic"
 )
 
@@ -93,7 +94,7 @@
 func (c *Caller) drop(id logic.ServerID) {
 	if e := c.endpoints[id]; e != nil {
 		delete(c.endpoints, id)
-		go e.client.Close()
+		lastwords.Go(func() { _ = e.client.Close() })
 	}
 }
 
@@ -112,7 +113,7 @@
 	c.tries[t.Key] = p
 	origin := t.Origin.(*check)
 	origin.tried.Store(true)
-	go c.call(ctx, e.client, origin, t.Key, p)
+	lastwords.Go(func() { c.call(ctx, e.client, origin, t.Key, p) })
 }
 
 func (c *Caller) call(ctx context.Context, client *grpc.ClientConn, origin *check, key core.Key, p *pending) {
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -24,6 +24,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/lastwords"
 	"bramblefall/logic"
 )
 
@@ -73,20 +74,27 @@
 	for k, p := range set.Plans {
 		f.plans[p.Name] = k
 	}
-	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(mostCall), grpc.MaxConcurrentStreams(mostCalls))
+	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(mostCall), grpc.MaxConcurrentStreams(mostCalls),
+		grpc.UnaryInterceptor(guarded))
 	rlsv3.RegisterRateLimitServiceServer(f.server, f)
 	f.health = health.NewServer()
 	healthpb.RegisterHealthServer(f.server, f.health)
 	return f
 }
 
+// guarded lets no panic of a call pass without its last words: the library's goroutines are none of ours.
+func guarded(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+	defer lastwords.Guard()
+	return handle(ctx, req)
+}
+
 // Listen opens the address and serves it until Drain. It returns where it listens.
 func (f *Front) Listen(addr string) (net.Addr, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
-	go func() { _ = f.server.Serve(netutil.LimitListener(l, mostConns)) }()
+	lastwords.Go(func() { _ = f.server.Serve(netutil.LimitListener(l, mostConns)) })
 	return l.Addr(), nil
 }
 
--- /dev/null
+++ b/internal/socket/conn.go
@@ -0,0 +1,143 @@
+// Package socket holds what the parts share of their netpoll connections: the dial, the one way to write, and the
+// outbox of bytes that wait to be written, so that a peer that does not read stalls nobody but itself.
+//
+// netpoll frees a connection's buffers and its descriptor when either side ends it, and both are used again for other
+// connections at once. Its own locks cover some ways of use and not others:
+//
+//   - Writer().Malloc, WriteBinary and their kin take no lock. Only Flush and Write take "flushing", which the closer
+//     waits for before it frees. Bytes may only be put in under that lock, so Write is the one way.
+//   - Reader() may be used inside the OnRequest callback alone: "processing" keeps the closer out until it returns.
+//   - The descriptor may be asked about only while the closer is kept out by a lock of ours, since netpoll has none.
+//
+// Conn offers just these, and no other package sees a netpoll connection.
+package socket
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"bramblefall/internal/lastwords"
+)
+
+// Conn is a connection whose use cannot meet its end.
+type Conn struct {
+	raw netpoll.Connection
+
+	mu    sync.Mutex // keeps the descriptor from being closed, and used again, while the kernel is asked about it
+	over  bool       // the descriptor is about to be closed
+	ended func()
+	told  bool // of the end
+}
+
+// Wrap makes a Conn of a connection that a listener has accepted, in its OnPrepare callback.
+func Wrap(raw netpoll.Connection) *Conn { return &Conn{raw: raw} }
+
+// Dial connects within the limit.
+func Dial(addr string, limit time.Duration) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	at, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *at})
+	if err != nil {
+		return nil, err
+	}
+	return Wrap(raw), nil
+}
+
+// Serve sets what happens when bytes have come, one call at a time, and once, in a goroutine of its own, when the
+// connection has ended, by either side, even if that was before this call.
+func (c *Conn) Serve(ready, ended func()) {
+	c.ended = ended
+	// The end first: without a reader netpoll leaves it to us to close, so none is missed between the two.
+	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error {
+		c.mu.Lock()
+		c.over = true // netpoll's own callback, which closes the descriptor, comes after this one
+		c.mu.Unlock()
+		c.tell()
+		return nil
+	})
+	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error {
+		defer lastwords.Guard() // netpoll's pool of goroutines would recover a panic and go on
+		ready()
+		return nil
+	})
+	if !c.raw.IsActive() { // it ended before the callbacks stood, and may have passed them by
+		c.Close()
+		c.tell()
+	}
+}
+
+func (c *Conn) tell() {
+	c.mu.Lock()
+	first := !c.told
+	c.told = true
+	c.mu.Unlock()
+	if first {
+		lastwords.Go(c.ended)
+	}
+}
+
+// Take hands over all bytes that have come. It may be called inside the ready callback alone; the bytes are the
+// connection's again when feed returns.
+func (c *Conn) Take(feed func([]byte)) error {
+	r := c.raw.Reader()
+	b, err := r.Next(r.Len())
+	if err != nil {
+		return err
+	}
+	feed(b)
+	return r.Release()
+}
+
+// WriteLimit bounds the time that Write waits for a peer that does not read.
+func (c *Conn) WriteLimit(d time.Duration) { _ = c.raw.SetWriteTimeout(d) }
+
+// Write sends all of b, from one goroutine at a time. An error says that the last byte was not written, unless it
+// MayBeWritten.
+func (c *Conn) Write(b []byte) error {
+	_, err := c.raw.Write(b)
+	return err
+}
+
+// MayBeWritten tells whether a write that failed may have sent its last byte all the same: after a time-out netpoll's
+// poller may still be sending the rest.
+func MayBeWritten(err error) bool { return errors.Is(err, netpoll.ErrWriteTimeout) }
+
+// Active tells whether neither side has ended the connection, as far as netpoll has seen.
+func (c *Conn) Active() bool { return c.raw.IsActive() }
+
+// Quiet tells whether a connection is open and has brought nothing that is not read yet. It asks the kernel, too:
+// bytes or an end may have come that netpoll has not seen.
+func (c *Conn) Quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || !c.raw.IsActive() || c.raw.Reader().Len() > 0 {
+		return false
+	}
+	var one [1]byte
+	_, _, err := syscall.Recvfrom(c.raw.(netpoll.Conn).Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return err == syscall.EAGAIN
+}
+
+// Refuse ends a connection that OnPrepare has been handed and that is not registered with the poller yet. Closing it
+// there or from a goroutine would race with that: the descriptor could be another connection's by then. The poller
+// sees the end that this makes and closes.
+func (c *Conn) Refuse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.over {
+		_ = syscall.Shutdown(c.raw.(netpoll.Conn).Fd(), syscall.SHUT_RDWR)
+	}
+}
+
+// Close ends the connection. It waits for a write that is under way to notice, and for no peer.
+func (c *Conn) Close() { _ = c.raw.Close() }
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -1,5 +1,3 @@
-// Package socket holds what the parts share of their netpoll connections: the dial, and the outbox of bytes that
-// wait to be written, so that a peer that does not read stalls nobody but itself.
 package socket
 
 import (
@@ -7,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
+	"bramblefall/internal/lastwords"
 )
 
 // Most is how many bytes may wait for one peer. More means that it has stopped reading.
@@ -18,10 +16,13 @@
 // ErrFull says that the peer does not read.
 var ErrFull = errors.New("the peer does not read")
 
+// ErrClosed says that nothing more goes out on this connection.
+var ErrClosed = errors.New("the connection is closed")
+
 // Outbox writes to one connection. Writers never wait: a goroutine that lives while there is something to
 // write flushes all that came meanwhile at once.
 type Outbox struct {
-	conn netpoll.Connection
+	conn *Conn
 
 	mu       sync.Mutex
 	waiting  []byte
@@ -31,8 +32,8 @@
 }
 
 // NewOutbox makes the outbox of a connection.
-func NewOutbox(conn netpoll.Connection) *Outbox {
-	_ = conn.SetWriteTimeout(writeLimit)
+func NewOutbox(conn *Conn) *Outbox {
+	conn.WriteLimit(writeLimit)
 	return &Outbox{conn: conn}
 }
 
@@ -41,11 +42,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.broken {
-		return netpoll.ErrConnClosed
+		return ErrClosed
 	}
 	if len(o.waiting)+len(b) > Most {
 		o.broken = true
-		go o.conn.Close()
+		lastwords.Go(o.conn.Close)
 		return ErrFull
 	}
 	o.waiting = append(o.waiting, b...)
@@ -71,7 +72,7 @@
 func (o *Outbox) start() {
 	if !o.flushing {
 		o.flushing = true
-		go o.flush()
+		lastwords.Go(o.flush)
 	}
 }
 
@@ -82,16 +83,13 @@
 		b := o.waiting
 		o.waiting = nil
 		o.mu.Unlock()
-		_, err := o.conn.Writer().WriteBinary(b)
-		if err == nil {
-			err = o.conn.Writer().Flush()
-		}
+		err := o.conn.Write(b)
 		o.mu.Lock()
 		o.broken = o.broken || err != nil
 	}
 	o.flushing = false
 	if o.broken || o.closing {
 		o.broken = true
-		go o.conn.Close() // in its own goroutine: close callbacks take their owners' locks
+		lastwords.Go(o.conn.Close) // in its own goroutine: close callbacks take their owners' locks
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,14 +5,12 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/cloudwego/netpoll"
-
 	"bramblefall/internal/core"
+	"bramblefall/internal/lastwords"
 	"bramblefall/internal/resp"
 	"bramblefall/internal/socket"
 	"bramblefall/internal/wire"
@@ -79,7 +77,7 @@
 type connection struct {
 	pool   *Pool
 	target *target
-	conn   netpoll.Connection
+	conn   *socket.Conn
 	parser resp.Parser // owned by the reading side
 	flight *flight     // nil: idle
 	closed bool
@@ -229,12 +227,12 @@
 	for n := len(f.target.idle) - 1; n >= 0; n-- {
 		c := f.target.idle[n]
 		rested := time.Since(c.since)
-		if rested < restFor && c.conn.IsActive() {
+		if rested < restFor && c.conn.Active() {
 			continue
 		}
 		// Guards against a write that crosses the server's close, which would end as a reset and may have run, and
 		// against bytes behind the last answer, which would be taken for this one's.
-		if rested >= p.idle || !socket.Quiet(c.conn) {
+		if rested >= p.idle || !c.conn.Quiet() {
 			p.drop(c)
 			continue
 		}
@@ -248,7 +246,7 @@
 		return
 	}
 	p.open++
-	go p.dial(f)
+	lastwords.Go(func() { p.dial(f) })
 }
 
 // evict closes the connection that has been idle longest, to make room for a new one.
@@ -275,16 +273,10 @@
 		return
 	}
 	c := &connection{pool: p, target: f.target, conn: conn}
-	_ = conn.SetWriteTimeout(writeLimit)
-	_ = conn.SetOnRequest(c.onRequest)
-	_ = conn.AddCloseCallback(func(netpoll.Connection) error {
-		go c.onClose() // in its own goroutine: the caller may hold the pool's lock
-		return nil
-	})
-	if !conn.IsActive() { // closed before the callbacks stood: nothing was written
+	conn.WriteLimit(writeLimit)
+	conn.Serve(c.onRequest, c.onClose)
+	if !conn.Active() { // closed at once: nothing was written
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
-		_ = conn.Close()
-		go c.onClose()
 		return
 	}
 	if f.done { // given up meanwhile: the connection serves the next
@@ -300,22 +292,15 @@
 	c.flight, f.state = f, flushing
 	f.on = c
 	if len(f.bytes) <= smallFlush {
-		p.flushed(c, f, c.flush(f.bytes))
+		p.flushed(c, f, c.conn.Write(f.bytes))
 		return
 	}
-	go func() {
-		err := c.flush(f.bytes)
+	lastwords.Go(func() {
+		err := c.conn.Write(f.bytes)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.flushed(c, f, err)
-	}()
-}
-
-func (c *connection) flush(b []byte) error {
-	if _, err := c.conn.Writer().WriteBinary(b); err != nil {
-		return err
-	}
-	return c.conn.Writer().Flush()
+	})
 }
 
 // flushed learns whether the last byte has left. Only then may the request have run.
@@ -323,8 +308,8 @@
 	f.bytes = nil
 	if err != nil {
 		o := core.Outcome{Status: logic.ConnectFailed}
-		if errors.Is(err, netpoll.ErrWriteTimeout) {
-			o.Status = logic.Reset // the poller may have written the rest since
+		if socket.MayBeWritten(err) {
+			o.Status = logic.Reset
 		}
 		p.finish(o, f)
 		p.drop(c)
@@ -360,7 +345,7 @@
 		c.closed = true
 		c.whole()
 		p.open--
-		go c.conn.Close() // its callbacks take the pool's lock
+		lastwords.Go(c.conn.Close) // it waits for a write under way
 	}
 }
 
@@ -379,29 +364,23 @@
 
 // onRequest reads what a server sends. It holds the lock from before the first byte is taken: what has been read
 // and not yet understood must not meet a flight that is written meanwhile.
-func (c *connection) onRequest(_ context.Context, conn netpoll.Connection) error {
+func (c *connection) onRequest() {
 	p := c.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := conn.Reader()
-	b, err := r.Next(r.Len())
-	if err != nil {
-		return err
-	}
-	c.parser.Feed(b)
-	if err := r.Release(); err != nil {
-		return err
+	if c.conn.Take(c.parser.Feed) != nil {
+		return
 	}
 	reply, ok, err := c.parser.Reply()
 	f := c.flight
 	if f != nil && err == nil && !ok {
 		c.wait()
-		return nil
+		return
 	}
 	c.whole()
 	if f == nil || err != nil { // an answer to nothing, or garbage: it fails this call alone
 		c.spoilt()
-		return nil
+		return
 	}
 	clean := c.parser.Buffered() == 0
 	c.flight, f.on = nil, nil
@@ -411,7 +390,6 @@
 	} else if f.state == written {
 		p.rest(c)
 	}
-	return nil
 }
 
 // wait bounds the time for the rest of an answer. Guards against a length that does not fit and a line that never
@@ -421,7 +399,7 @@
 		return
 	}
 	var begun *time.Timer
-	begun = time.AfterFunc(wholeWithin, func() {
+	begun = lastwords.AfterFunc(wholeWithin, func() {
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
 		if c.begun == begun {
