Fault harness: scripted peers for every socket, an auditor of both ends, last words

Change: internal/fault draws scripts by seed and shrinks plans that fail; internal/standin holds nodes, counter, discovery, clients and gRPC callers that follow them and an auditor; the test plays 6,000 connections against the real program built with the race detector and counts descriptors and goroutines at rest.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. The deploy build stands in deploy/balancer.toml; `make build` runs the same.
-.PHONY: build test lint run ci
+.PHONY: build test lint run ci faults
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -17,3 +17,8 @@
 
 ci:
 	.ci/run
+
+# The long form of the fault tests: 100,000 connections that play a script, other ones with SEED=N.
+SEED ?= 1
+faults:
+	BRAMBLEFALL_SCRIPTS=100000 BRAMBLEFALL_SEED=$(SEED) go test ./cmd/bramblefall -run NoFault -count 1 -v -timeout 30m
--- /dev/null
+++ b/cmd/bramblefall/fault_test.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/fault"
+	"bramblefall/internal/standin"
+)
+
+// The fault tests run the real program, built with the race detector, against peers that break off, stall, repeat
+// themselves and send noise on every socket that it has. BRAMBLEFALL_SCRIPTS sets how many connections play a script
+// (make faults plays 100,000), BRAMBLEFALL_SEED which ones.
+
+const (
+	faultScripts = 6000
+	faultsAtOnce = 200
+	idleSoon     = 1.0 // seconds: connections to nodes close themselves before the count of descriptors
+	restless     = 48  // goroutines of a limiter at rest, with both fronts, over which there is a leak
+	restful      = 20  // descriptors, likewise: streams, pollers, two listeners, watch, counter
+)
+
+func fromEnv(name string, otherwise uint64) uint64 {
+	n, err := strconv.ParseUint(os.Getenv(name), 0, 64)
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+// raceBinary builds the program with the race detector.
+func raceBinary(t *testing.T) string {
+	t.Helper()
+	look()
+	path := filepath.Join(t.TempDir(), "bramblefall-race")
+	out, err := exec.Command("go", "build", "-race", "-o", path, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return path
+}
+
+// playFaults runs one plan against a new limiter and gives what broke; "" if nothing did.
+func playFaults(t *testing.T, binary string, p fault.Plan) (standin.Tally, string) {
+	w := standin.NewWorld(p)
+	defer w.Close()
+	for k, hall := range []string{"hall-a", "hall-a", "hall-b", "hall-b"} {
+		_, err := w.AddNode(fmt.Sprintf("s-%d", k), hall)
+		require.NoError(t, err)
+	}
+	c, err := w.AddCounter()
+	require.NoError(t, err)
+	d, err := w.AddDiscovery()
+	require.NoError(t, err)
+	set := settings()
+	set["caps"].(object)["connIdle"] = idleSoon
+	dir := t.TempDir()
+	second := writeJSON(t, filepath.Join(dir, "ratelimit.json"), object{"listen": "127.0.0.1:0"})
+	l, err := standin.Start(binary, dir, object{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+		"limits": object{"cores": 4.0, "memory_mb": 1024, "sockets": 1024}, "settings": set, "known": d.List(),
+		"counter": c.Addr, "discovery": d.Addr}, "-ratelimit", second)
+	require.NoError(t, err)
+	defer l.Kill()
+	w.Play(p, l.Addr, l.GRPCAddr, faultsAtOnce)
+	if crash := l.Crashed(); crash != "" {
+		return w.Audit.Tally(), crash
+	}
+	if findings, n := w.Audit.Findings(); n > 0 {
+		return w.Audit.Tally(), fmt.Sprintf("%d findings, first %q", n, findings)
+	}
+	tally := w.Audit.Tally()
+	held, err := l.Descriptors()
+	for waited := time.Duration(0); held > restful && waited < patience; waited += 100 * time.Millisecond {
+		time.Sleep(100 * time.Millisecond)
+		held, err = l.Descriptors()
+	}
+	if err != nil || held > restful {
+		return tally, fmt.Sprintf("%d descriptors at rest: %v", held, err)
+	}
+	if n, err := l.Goroutines(); err != nil || n > restless {
+		return tally, fmt.Sprintf("%d goroutines at rest: %v\n%s", n, err, l.Log())
+	}
+	return tally, ""
+}
+
+func TestNoFaultOfAPeerCrashesOrLeaksOrMixesUp(t *testing.T) {
+	seed, scripts := fromEnv("BRAMBLEFALL_SEED", 1), fromEnv("BRAMBLEFALL_SCRIPTS", faultScripts)
+	binary := raceBinary(t)
+	began := time.Now()
+	for left := int(scripts); left > 0; seed++ {
+		p := fault.Draw(seed, min(left, faultScripts))
+		tally, broke := playFaults(t, binary, p)
+		if broke != "" {
+			fails := func(smaller fault.Plan) bool { _, again := playFaults(t, binary, smaller); return again != "" }
+			p = fault.Shrink(p, 30, fails)
+			require.Fail(t, "seed "+strconv.FormatUint(seed, 10), "%s\nsmallest plan found: %d scripts\n%.4000s", broke,
+				len(p.Scripts), p.Scripts)
+		}
+		require.Positive(t, tally.Served)
+		left -= tally.Connections
+		t.Logf("seed %d: %+v after %.0f s", seed, tally, time.Since(began).Seconds())
+	}
+}
--- /dev/null
+++ b/internal/standin/node.go
@@ -0,0 +1,112 @@
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"bramblefall/internal/fault"
+	"bramblefall/internal/resp"
+)
+
+// Node stands in for an exchange node.
+type Node struct {
+	ID, Hall, Addr string
+	State          atomic.Value // string: as discovery tells it
+
+	world *World
+	made  atomic.Int64
+	// Handle chooses the answer to a command, after a delay; nil: a mix of values, errors and refusals by the
+	// connection's script. mayRun tells the auditor whether the command runs.
+	Handle func(n *Node, args [][]byte) (answer []byte, mayRun bool, delay time.Duration)
+}
+
+// AddNode starts a node in a hall.
+func (w *World) AddNode(id, hall string) (*Node, error) {
+	n := &Node{ID: id, Hall: hall, world: w}
+	n.State.Store("ready")
+	var err error
+	n.Addr, err = w.listen(fault.Node, n.serve)
+	w.Nodes = append(w.Nodes, n)
+	return n, err
+}
+
+const (
+	slowest  = 12 // milliseconds of a node's own delay
+	mostBody = 20 << 10
+)
+
+func (n *Node) serve(conn *fault.Conn, s fault.Script) {
+	rng := rand.New(rand.NewPCG(s.Seed, 2))
+	var p resp.Parser
+	buf := make([]byte, 32<<10)
+	for {
+		k, err := conn.Read(buf)
+		p.Feed(buf[:k])
+		for {
+			args, ok, bad := p.Command()
+			if bad != nil {
+				n.world.Audit.Find("node %s cannot read what came: %v", n.ID, bad)
+				return
+			}
+			if !ok {
+				break
+			}
+			if !n.answer(conn, rng, args) {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (n *Node) answer(conn *fault.Conn, rng *rand.Rand, args [][]byte) bool {
+	var text []byte
+	if name := string(args[0]); name != "Q.ASK" && name != "Q.DO" {
+		text = resp.AppendBulk(nil, []byte("inflight=1,queue=0,util=0.1"))
+	} else if n.Handle != nil {
+		answer, mayRun, delay := n.Handle(n, args)
+		n.world.Audit.Received(args, n.Hall, string(answer), mayRun)
+		time.Sleep(delay)
+		text = answer
+	} else {
+		text = n.own(rng, args)
+	}
+	if _, err := conn.Send(text); err != nil {
+		return false
+	}
+	return conn.Rest() == nil
+}
+
+// own is the answer by chance: mostly a value that names the request and the node.
+func (n *Node) own(rng *rand.Rand, args [][]byte) []byte {
+	value := ""
+	if len(args) > 2 {
+		value = fmt.Sprintf("%s|%s|%d|", args[2], n.ID, n.made.Add(1))
+	}
+	chance := rng.Float64()
+	if chance < 0.02 {
+		value += strings.Repeat("x", rng.IntN(mostBody))
+	}
+	n.world.Audit.Received(args, n.Hall, value, chance < 0.94)
+	if rng.Float64() < 0.2 {
+		time.Sleep(time.Duration(rng.IntN(slowest)) * time.Millisecond)
+	}
+	switch {
+	case chance >= 0.94:
+		return []byte("-BUSY\r\n")
+	case chance >= 0.88:
+		return []byte("-ERR failed\r\n")
+	}
+	return Value(value)
+}
+
+// Value is a node's answer that serves a request.
+func Value(text string) []byte {
+	b := resp.AppendBulk([]byte("*3\r\n"), []byte(text))
+	return append(b, "$-1\r\n$-1\r\n"...)
+}
