--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 SEED ?= 1
 faults:
 	BRAMBLEFALL_SCRIPTS=100000 BRAMBLEFALL_SEED=$(SEED) go test ./cmd/bramblefall -run NoFault -count 1 -v -timeout 30m
+
+# Generated code of the admin service; needs protoc, protoc-gen-go and protoc-gen-go-grpc.
+.PHONY: generate
+generate:
+	cd internal/admin/adminpb && protoc --go_out=. --go_opt=paths=source_relative \
+		--go-grpc_out=. --go-grpc_opt=paths=source_relative admin.proto
--- /dev/null
+++ b/cmd/bramblefall/check.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// checkCommand reads an operators' file as the limiter would. No running limiter is needed.
+func checkCommand() *cobra.Command {
+	o := &output{}
+	c := &cobra.Command{Use: "check FILE", Short: "Check an operators' file, without a limiter", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			file, err := readOperator(args[0])
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, v := range file.Plans {
+				rows = append(rows, []string{"plans", strconv.FormatUint(v.Number, 10), from(v.Effective), strconv.Itoa(len(v.Tiers)) + " tiers", v.Note})
+			}
+			for _, r := range file.Reservations {
+				rows = append(rows, []string{"reservation", r.ID, from(r.From), number(r.Units) + " units", r.Note})
+			}
+			if file.RateLimit != nil {
+				rows = append(rows, []string{"ratelimit", file.RateLimit.Listen, "at the start", "domain " + strconv.Quote(file.RateLimit.Domain), ""})
+			}
+			if file.Admin != nil {
+				rows = append(rows, []string{"admin", file.Admin.Socket, "at the start", "", ""})
+			}
+			return o.write(c.OutOrStdout(), file, "WHAT WHICH FROM SIZE NOTE", rows)
+		}}
+	o.flag(c)
+	return c
+}
+
+func from(d time.Duration) string {
+	if d == 0 {
+		return "on receipt"
+	}
+	return time.Unix(0, int64(d)).Local().Format(time.RFC3339)
+}
--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -1,155 +1,148 @@
-// Command bramblefall is one limiter: it holds member firms to their quotas in front of the exchange nodes.
+// Command bramblefall is one limiter: it holds member firms to their quotas in front of the exchange nodes. Its
+// sub-commands tend a running one.
 package main
 
 import (
-	"context"
-	"flag"
+	"errors"
 	"fmt"
 	"log/slog"
-	"math"
 	"os"
 	"os/signal"
-	"runtime"
+	"regexp"
 	"runtime/debug"
 	"syscall"
-	"time"
 
-	"bramblefall/internal/core"
-	"bramblefall/internal/counter"
-	"bramblefall/internal/discovery"
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"bramblefall/internal/lastwords"
-	"bramblefall/internal/loop"
-	"bramblefall/internal/platform"
-	"bramblefall/internal/ratelimit"
-	"bramblefall/internal/upstream"
+	"bramblefall/internal/operator"
+	"bramblefall/internal/plans"
 )
 
+// Exit codes beside 0.
 const (
-	ownDescriptors = 64 // standard streams, pollers, listener, watch, and the counter's 32 at most
-	fewDescriptors = 128
-	memoryShare    = 0.75 // of the cap: the rest is for stacks and the kernel's buffers
-	moreGarbage    = 400  // per cent: the heap is small, and collecting it costs CPU
-
-	lastAnswers = 3400 * time.Millisecond // after SIGTERM: SIGKILL may come 300 ms later
-	lastFlush   = 100 * time.Millisecond
+	exitOther  = 1
+	exitUnfit  = 2 // what was given cannot be used
+	socketName = "BRAMBLEFALL_ADMIN"
 )
 
 func main() {
 	defer lastwords.Guard()
-	if err := run(); err != nil {
+	root := rootCommand()
+	root.SetArgs(oldFlags(os.Args[1:]))
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblefall:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
-func run() error {
-	path := flag.String("config", os.Getenv("RELAY_CONFIG"), "the platform's configuration, JSON")
-	level := flag.String("log", "info", "log level: debug, info, warn or error")
-	second := flag.String("ratelimit", "", "a file that says where the gRPC rate limit service listens; without one it is off")
-	flag.Parse()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // before all else: a SIGHUP must not end it
-	var least slog.Level
-	if err := least.UnmarshalText([]byte(*level)); err != nil {
-		return err
-	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: least})))
-	cfg, err := readConfig(*path, false)
-	if err != nil {
-		return err
-	}
-	var service *rateLimit
-	if *second != "" {
-		if service, err = readRateLimit(*second); err != nil {
-			return err
+var oldFlag = regexp.MustCompile(`^-(config|ratelimit|log|operator)(=|$)`)
+
+// oldFlags takes flags with one dash, as they were before there were sub-commands.
+func oldFlags(args []string) []string {
+	out := make([]string, len(args))
+	for k, a := range args {
+		if out[k] = a; oldFlag.MatchString(a) {
+			out[k] = "-" + a
 		}
 	}
-	return serve(cfg, service, *path, signals)
+	return out
 }
 
-func serve(cfg config, service *rateLimit, path string, signals <-chan os.Signal) error {
-	if cfg.Limits.Cores > 0 {
-		// On one core, a second scheduler thread only wakes and parks: measured, a sixth more CPU on a calm day.
-		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+// exitCode tells what cannot be used from what went wrong.
+func exitCode(err error) int {
+	var unfit operator.Errors
+	var problems plans.Problems
+	var usage usageError
+	if errors.As(err, &unfit) || errors.As(err, &problems) || errors.As(err, &usage) || status.Code(err) == codes.InvalidArgument {
+		return exitUnfit
 	}
-	debug.SetGCPercent(moreGarbage)
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
+	return exitOther
+}
+
+// usageError is a command line that cannot be used.
+type usageError struct{ error }
+
+func rootCommand() *cobra.Command {
+	var o serveOptions
+	root := &cobra.Command{
+		Use:   "bramblefall",
+		Short: "A limiter in front of exchange nodes; without a sub-command it serves",
+		Args:  cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error { return serveCommand(o) },
 	}
-	most := max(cfg.Limits.Sockets, fewDescriptors) - ownDescriptors
-	if service != nil {
-		most = max(most-ratelimit.Descriptors, fewDescriptors)
+	serve := &cobra.Command{Use: "serve", Short: "Serve until SIGTERM", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return serveCommand(o) }}
+	for _, c := range []*cobra.Command{root, serve} {
+		c.Flags().StringVar(&o.config, "config", os.Getenv("RELAY_CONFIG"), "the platform's configuration, JSON")
+		c.Flags().StringVar(&o.operator, "operator", "", "the operators' file, Starlark; without one all that it switches on is off")
+		c.Flags().StringVar(&o.ratelimit, "ratelimit", "", "a JSON file that says where the gRPC front listens; the operators' file says it, too")
+		c.Flags().StringVar(&o.level, "log", "info", "log level: debug, info, warn or error")
 	}
-	owner := loop.New(core.New(cfg.settings, cfg.seed))
-	pool := upstream.New(cfg.settings, most/2, owner.Post)
-	list := discovery.New(cfg.Discovery, cfg.settings, pool, owner.Post)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	counts := counter.New(cfg.Counter, owner.Post, loop.Now)
-	callers := []loop.Caller{pool} // by group
-	if service != nil {
-		callers = append(callers, service.prepare(cfg.settings, owner))
+	evaluate := &cobra.Command{Use: operator.Command + " FILE", Hidden: true, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error { return operator.Main(args[0], c.OutOrStdout()) }}
+	version := &cobra.Command{Use: "version", Short: "Tell which build this is", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return tellVersion(c) }}
+	root.AddCommand(serve, evaluate, version, checkCommand(), plansCommand(), reserveCommand())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	return root
+}
+
+func tellVersion(c *cobra.Command) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this build tells nothing of itself")
 	}
-	owner.Connect(callers, counts, list)
-	list.Known(cfg.Known)
-	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
-		lastwords.Go(func() { run(ctx) })
+	revision := ""
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = " " + s.Value
+		}
 	}
-	front := platform.New(cfg.settings, owner, most-most/2)
-	at, err := front.Listen(cfg.Listen)
+	_, err := fmt.Fprintf(c.OutOrStdout(), "bramblefall %s%s %s\n", info.Main.Version, revision, info.GoVersion)
+	return err
+}
+
+type serveOptions struct{ config, operator, ratelimit, level string }
+
+// serveCommand reads all that the limiter is told and serves.
+func serveCommand(o serveOptions) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // before all else: a SIGHUP must not end it
+	var least slog.Level
+	if err := least.UnmarshalText([]byte(o.level)); err != nil {
+		return usageError{err}
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: least})))
+	cfg, err := readConfig(o.config, false)
 	if err != nil {
 		return err
 	}
-	if service != nil {
-		if err := service.start(ctx); err != nil {
-			return err
-		}
-		defer service.stop()
+	file, err := readOperator(o.operator)
+	if err != nil {
+		return err
 	}
-	lastwords.Go(func() { front.Run(ctx) })
-	slog.Info("serving", "name", cfg.Name, "listen", at)
-
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	if o.ratelimit != "" {
+		if file.RateLimit != nil {
+			return usageError{errors.New("the gRPC front stands in the operators' file and in -ratelimit")}
 		}
-		next, err := readConfig(path, true)
-		if err != nil {
-			slog.Error("the new configuration cannot be used, the old one is kept", "err", err)
-			continue
+		if file.RateLimit, err = readRateLimit(o.ratelimit); err != nil {
+			return err
 		}
-		list.Move(next.Discovery)
-		counts.Move(next.Counter)
-		slog.Info("read the configuration anew", "discovery", next.Discovery, "counter", next.Counter)
 	}
-	ended := time.After(lastAnswers)
-	slog.Info("draining", "open", owner.Open())
-	drained := make(chan struct{})
-	lastwords.Go(func() {
-		defer close(drained)
-		if service != nil {
-			service.front.Drain()
-		}
-	})
-	front.Drain()
-	finish(owner, front, drained, ended)
-	return nil
+	return serve(cfg, file, o, signals)
 }
 
-// finish waits until every request context has its final answer and both fronts have written theirs, and answers
-// what is left before the platform would kill it unanswered.
-func finish(owner *loop.Loop, front *platform.Front, drained <-chan struct{}, ended <-chan time.Time) {
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	for front.Clients() > 0 || owner.Open() > 0 || drained != nil {
-		select {
-		case <-tick.C:
-		case <-drained:
-			drained = nil
-		case <-ended:
-			owner.Post(core.Closing{})
-			time.Sleep(lastFlush)
-			return
-		}
+// readOperator reads the operators' file; "": there is none.
+func readOperator(path string) (operator.File, error) {
+	if path == "" {
+		return operator.File{Limits: plans.DefaultLimits}, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return operator.File{}, err
 	}
+	return operator.Read(self, path)
 }
--- a/cmd/bramblefall/ratelimit.go
+++ b/cmd/bramblefall/ratelimit.go
@@ -11,29 +11,35 @@
 
 	"bramblefall/internal/lastwords"
 	"bramblefall/internal/loop"
+	"bramblefall/internal/operator"
+	"bramblefall/internal/plans"
 	"bramblefall/internal/ratelimit"
 	"bramblefall/internal/xds"
 	"bramblefall/logic"
 )
 
-// rateLimit is the second front, as its file under deploy/ describes it.
+// rateLimit is the second front, as its file describes it.
 type rateLimit struct {
-	Listen string     `json:"listen"`
-	Domain string     `json:"domain"` // of the callers; "": any
-	Others *xds.Files `json:"others"` // a rate limit service of others that has the last word; nil: none
-
+	operator.RateLimit
 	front  *ratelimit.Front
 	caller *ratelimit.Caller
 	group  *xds.Group
 }
 
+func newRateLimit(r *operator.RateLimit) *rateLimit {
+	if r == nil {
+		return nil
+	}
+	return &rateLimit{RateLimit: *r}
+}
+
 // readRateLimit reads the file. The paths in it are meant from where it stands.
-func readRateLimit(path string) (*rateLimit, error) {
+func readRateLimit(path string) (*operator.RateLimit, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	r := &rateLimit{}
+	r := &operator.RateLimit{}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields() // a misspelt name must not switch something off unseen
 	if err := dec.Decode(r); err != nil {
@@ -53,8 +59,8 @@
 }
 
 // prepare makes the front and the caller of its upstream group.
-func (r *rateLimit) prepare(set logic.Settings, owner *loop.Loop) loop.Caller {
-	r.front = ratelimit.NewFront(set, owner, r.Domain, r.Others != nil)
+func (r *rateLimit) prepare(set logic.Settings, owner *loop.Loop, board *plans.Board) loop.Caller {
+	r.front = ratelimit.NewFront(set, owner, board, r.Domain, r.Others != nil)
 	r.caller = ratelimit.NewCaller(owner.Post)
 	if r.Others != nil {
 		r.group = xds.New(*r.Others, ratelimit.OthersGroup, set, r.caller, owner.Post)
--- /dev/null
+++ b/cmd/bramblefall/serve.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"bramblefall/internal/admin"
+	"bramblefall/internal/core"
+	"bramblefall/internal/counter"
+	"bramblefall/internal/discovery"
+	"bramblefall/internal/lastwords"
+	"bramblefall/internal/loop"
+	"bramblefall/internal/operator"
+	"bramblefall/internal/plans"
+	"bramblefall/internal/platform"
+	"bramblefall/internal/ratelimit"
+	"bramblefall/internal/state"
+	"bramblefall/internal/upstream"
+)
+
+const (
+	ownDescriptors = 64 // standard streams, pollers, listener, watch, and the counter's 32 at most
+	fewDescriptors = 128
+	memoryShare    = 0.75 // of the cap: the rest is for stacks and the kernel's buffers
+	moreGarbage    = 400  // per cent: the heap is small, and collecting it costs CPU
+
+	lastAnswers = 3400 * time.Millisecond // after SIGTERM: SIGKILL may come 300 ms later
+	lastFlush   = 100 * time.Millisecond
+)
+
+func serve(cfg config, file operator.File, o serveOptions, signals <-chan os.Signal) error {
+	if cfg.Limits.Cores > 0 {
+		// On one core, a second scheduler thread only wakes and parks: measured, a sixth more CPU on a calm day.
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+	}
+	debug.SetGCPercent(moreGarbage)
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB<<20)))
+	}
+	most := max(cfg.Limits.Sockets, fewDescriptors) - ownDescriptors
+	service := newRateLimit(file.RateLimit)
+	if service != nil {
+		most = max(most-ratelimit.Descriptors, fewDescriptors)
+	}
+	if file.Admin != nil {
+		most = max(most-admin.Descriptors, fewDescriptors)
+	}
+	book, keeper, err := openBook(cfg, file)
+	if err != nil {
+		return err
+	}
+	board := &plans.Board{}
+	owner := loop.New(core.New(cfg.settings, cfg.seed, book))
+	pool := upstream.New(cfg.settings, most/2, owner.Post)
+	list := discovery.New(cfg.Discovery, cfg.settings, pool, owner.Post)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	counts := counter.New(cfg.Counter, owner.Post, loop.Now)
+	callers := []loop.Caller{pool} // by group
+	if service != nil {
+		callers = append(callers, service.prepare(cfg.settings, owner, board))
+	}
+	owner.Connect(callers, counts, list, board, keeper)
+	owner.Begin()
+	list.Known(cfg.Known)
+	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
+		lastwords.Go(func() { run(ctx) })
+	}
+	front := platform.New(cfg.settings, owner, board, most-most/2)
+	at, err := front.Listen(cfg.Listen)
+	if err != nil {
+		return err
+	}
+	if service != nil {
+		if err := service.start(ctx); err != nil {
+			return err
+		}
+		defer service.stop()
+	}
+	if file.Admin != nil {
+		operators := admin.New(owner)
+		if err := operators.Listen(file.Admin.Socket); err != nil {
+			return err
+		}
+		defer operators.Stop()
+		slog.Info("serving operators", "socket", file.Admin.Socket)
+	}
+	lastwords.Go(func() { front.Run(ctx) })
+	slog.Info("serving", "name", cfg.Name, "listen", at)
+
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		reload(o, owner, list, counts)
+	}
+	ended := time.After(lastAnswers)
+	slog.Info("draining", "open", owner.Open())
+	drained := make(chan struct{})
+	lastwords.Go(func() {
+		defer close(drained)
+		if service != nil {
+			service.front.Drain()
+		}
+	})
+	front.Drain()
+	finish(owner, front, drained, ended)
+	return nil
+}
+
+// openBook makes the plan book: the platform's tiers, what the state directory keeps, and the operators' file.
+func openBook(cfg config, file operator.File) (*plans.Book, loop.Keeper, error) {
+	limits := file.Limits
+	limits.MostUnits = cfg.settings.MostUnits
+	book := plans.New(cfg.settings.Plans, limits)
+	var keeper loop.Keeper
+	if file.StateDir != "" {
+		dir, err := state.Open(file.StateDir)
+		if err != nil {
+			return nil, nil, err
+		}
+		kept, found, err := dir.Load()
+		if err != nil {
+			slog.Error("the plans that were kept cannot be used", "err", err)
+		}
+		if found {
+			book.Restore(kept)
+		}
+		keeper = dir
+	}
+	return book, keeper, book.Replace(plans.File, file.Plans, file.Reservations, loop.Now(), nil)
+}
+
+// reload reads both files again. Each is used whole or not at all; what cannot be used leaves the last good one.
+func reload(o serveOptions, owner *loop.Loop, list *discovery.Client, counts *counter.Client) {
+	next, err := readConfig(o.config, true)
+	if err != nil {
+		slog.Error("the new configuration cannot be used, the old one is kept", "err", err)
+		return
+	}
+	list.Move(next.Discovery)
+	counts.Move(next.Counter)
+	replan(owner, "the platform's tiers", core.Reread{Tiers: next.settings.Plans})
+	if o.operator != "" {
+		file, err := readOperator(o.operator)
+		if err != nil {
+			slog.Error("the new operators' file cannot be used, the old one is kept", "err", err)
+		} else {
+			replan(owner, "the operators' file", core.Replace{Source: plans.File, Versions: file.Plans, Reservations: file.Reservations})
+		}
+	}
+	slog.Info("read the configuration anew", "discovery", next.Discovery, "counter", next.Counter)
+}
+
+// replan puts a change to the reducer and logs what became of it.
+func replan(owner *loop.Loop, what string, question any) {
+	owner.Post(core.Ask{Question: question, Reply: func(r core.Reply) {
+		if r.Err != nil {
+			slog.Error("plans cannot be used, the old ones are kept", "from", what, "err", r.Err)
+			return
+		}
+		slog.Info("read plans anew", "from", what, "version", r.Book.Current.Number, "to come", len(r.Book.Pending),
+			"reservations", len(r.Book.Reservations))
+	}})
+}
+
+// finish waits until every request context has its final answer and both fronts have written theirs, and answers
+// what is left before the platform would kill it unanswered.
+func finish(owner *loop.Loop, front *platform.Front, drained <-chan struct{}, ended <-chan time.Time) {
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for front.Clients() > 0 || owner.Open() > 0 || drained != nil {
+		select {
+		case <-tick.C:
+		case <-drained:
+			drained = nil
+		case <-ended:
+			owner.Post(core.Closing{})
+			time.Sleep(lastFlush)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/admin/convert.go
@@ -0,0 +1,109 @@
+package admin
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"bramblefall/internal/admin/adminpb"
+	"bramblefall/internal/core"
+	"bramblefall/internal/plans"
+	"bramblefall/logic"
+)
+
+func stamp(d time.Duration) *timestamppb.Timestamp {
+	if d == 0 {
+		return nil
+	}
+	return timestamppb.New(time.Unix(0, int64(d)))
+}
+
+func instant(t *timestamppb.Timestamp) time.Duration {
+	if t == nil {
+		return 0
+	}
+	return time.Duration(t.AsTime().UnixNano())
+}
+
+func tierOut(p logic.Plan) *adminpb.Tier {
+	return &adminpb.Tier{Name: p.Name, Rate: p.Rate, Burst: p.Burst, Open: int64(p.Open), Price: p.Price,
+		OverWorth: p.OverWorth, OverCost: p.OverCost, CeilingRate: p.CeilingRate, CeilingBurst: p.CeilingBurst,
+		CeilingSlack: p.CeilingSlack}
+}
+
+func tierIn(t *adminpb.Tier) logic.Plan {
+	return logic.Plan{Name: t.GetName(), Rate: t.GetRate(), Burst: t.GetBurst(), Open: int(t.GetOpen()), Price: t.GetPrice(),
+		OverWorth: t.GetOverWorth(), OverCost: t.GetOverCost(), CeilingRate: t.GetCeilingRate(),
+		CeilingBurst: t.GetCeilingBurst(), CeilingSlack: t.GetCeilingSlack()}
+}
+
+// VersionOut is a version in the service's form.
+func VersionOut(v plans.Version) *adminpb.Version {
+	out := &adminpb.Version{Number: v.Number, Effective: stamp(v.Effective), Note: v.Note, Author: v.Author, Source: string(v.Source)}
+	for _, t := range v.Tiers {
+		out.Tiers = append(out.Tiers, tierOut(t))
+	}
+	for _, f := range v.Firms {
+		o := &adminpb.Firm{Firm: f.Firm, Tier: f.Tier}
+		if f.Own != nil {
+			o.Own = tierOut(*f.Own)
+		}
+		out.Firms = append(out.Firms, o)
+	}
+	return out
+}
+
+// VersionIn reads one.
+func VersionIn(v *adminpb.Version) plans.Version {
+	out := plans.Version{Number: v.GetNumber(), Effective: instant(v.GetEffective()), Note: v.GetNote(), Author: v.GetAuthor(),
+		Source: plans.Source(v.GetSource())}
+	for _, t := range v.GetTiers() {
+		out.Tiers = append(out.Tiers, tierIn(t))
+	}
+	for _, f := range v.GetFirms() {
+		o := plans.Firm{Firm: f.GetFirm(), Tier: f.GetTier()}
+		if f.GetOwn() != nil {
+			own := tierIn(f.GetOwn())
+			o.Own = &own
+		}
+		out.Firms = append(out.Firms, o)
+	}
+	return out
+}
+
+// ReservationOut is a reservation in the service's form.
+func ReservationOut(r plans.Reservation, use core.ReservationUse) *adminpb.Reservation {
+	return &adminpb.Reservation{Id: r.ID, Firm: r.Firm, Units: r.Units, Rate: r.Rate, Start: stamp(r.From), End: stamp(r.Until),
+		Note: r.Note, Source: string(r.Source), State: string(r.State), Used: use.Used, Leased: use.Leased}
+}
+
+// ReservationIn reads one.
+func ReservationIn(r *adminpb.Reservation) plans.Reservation {
+	return plans.Reservation{ID: r.GetId(), Firm: r.GetFirm(), Units: r.GetUnits(), Rate: r.GetRate(), From: instant(r.GetStart()),
+		Until: instant(r.GetEnd()), Note: r.GetNote(), Source: plans.Source(r.GetSource()), State: plans.State(r.GetState())}
+}
+
+func bookOut(r core.Reply) *adminpb.Book {
+	out := &adminpb.Book{Current: VersionOut(r.Book.Current), Now: stamp(r.Now), Requests: map[uint64]uint64{}}
+	for _, v := range r.Book.Pending {
+		out.Pending = append(out.Pending, VersionOut(v))
+	}
+	for _, e := range r.Book.History {
+		out.History = append(out.History, &adminpb.Ended{Version: VersionOut(e.Version), Began: stamp(e.Began), Until: stamp(e.Until),
+			Withdrawn: e.Withdrawn})
+	}
+	for _, x := range r.Book.Reservations {
+		out.Reservations = append(out.Reservations, ReservationOut(x, r.Uses[x.ID]))
+	}
+	for _, t := range r.Tally.Versions {
+		out.Requests[t.Number] += t.Requests
+	}
+	return out
+}
+
+func effectsOut(list []plans.Effect) (out []*adminpb.Effect) {
+	for _, e := range list {
+		out = append(out, &adminpb.Effect{Tier: e.Tier, Kind: e.Kind, From: tierOut(e.From), To: tierOut(e.To), Firms: int64(e.Firms)})
+	}
+	return out
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"bramblefall/internal/plans"
+	"bramblefall/internal/reserve"
 	"bramblefall/logic"
 )
 
@@ -152,6 +154,8 @@
 	tryTimer
 	countTimer
 	probeTimer
+	planTimer    // a version or a reservation is due
+	reserveTimer // reservations in use are looked after
 )
 
 const probeWait = 250 * time.Millisecond // a probe unanswered by then has timed out
@@ -185,6 +189,12 @@
 type Reducer struct {
 	set      logic.Settings
 	gateway  *logic.Gateway
+	book     *plans.Book
+	reserves *reserve.Manager
+	leases   map[uint64]uint64 // tokens of the reserves' calls, by call
+	planned  time.Duration     // when the earliest plan timer rings; 0: none is set
+	tending  bool              // the reserve timer is set
+	tally    Tally
 	now      time.Duration
 	requests map[uint64]*requestContext
 	calls    map[uint64]call
@@ -195,10 +205,13 @@
 	moot     []logic.Outcome // of tries that could not be made, for the module's next turn
 }
 
-// New makes a reducer round a module with these settings.
-func New(set logic.Settings, seed uint64) *Reducer {
-	return &Reducer{set: set, gateway: logic.New(set, seed), requests: map[uint64]*requestContext{},
-		calls: map[uint64]call{}, probes: map[uint64]probe{}, groups: map[logic.ServerID]int{}}
+// New makes a reducer round a module with these settings. The book's plans go before the settings'.
+func New(set logic.Settings, seed uint64, book *plans.Book) *Reducer {
+	r := &Reducer{set: set, gateway: logic.New(set, seed), requests: map[uint64]*requestContext{},
+		calls: map[uint64]call{}, probes: map[uint64]probe{}, groups: map[logic.ServerID]int{}, book: book,
+		reserves: reserve.New(set.Gateways, set.Rank, set.MostUnits), leases: map[uint64]uint64{}}
+	r.gateway.Use(book, r.reserves)
+	return r
 }
 
 // Open is how many request contexts wait for their final answer or the outcome of a try.
@@ -210,6 +223,7 @@
 	switch e := ev.(type) {
 	case RequestContext:
 		r.requests[e.ID] = &requestContext{origin: e.Origin, group: e.Group, deadline: r.now + e.TTL}
+		r.tally.count(r.book.Current().Number)
 		r.tell(e.Request)
 	case Outcome:
 		r.outcome(e)
@@ -229,9 +243,12 @@
 		r.clientGone(e.ID)
 	case Closing:
 		r.tell(logic.Closing{})
+	case Ask:
+		r.ask(e)
 	case Timer:
 		r.rang(e)
 	}
+	r.lease()
 	for len(r.moot) > 0 {
 		o := r.moot[0]
 		r.moot = r.moot[1:]
@@ -365,6 +382,11 @@
 
 // counted passes on the first word on a call: an answer that comes after its time-out changes nothing.
 func (r *Reducer) counted(e CountResult) {
+	if token, ok := r.leases[e.Call]; ok {
+		delete(r.leases, e.Call)
+		r.reserves.Counted(r.now, token, e.Status, e.Total)
+		return
+	}
 	if c, ok := r.calls[e.Call]; ok {
 		delete(r.calls, e.Call)
 		r.tell(logic.CountResult{Name: c.name, Status: e.Status, Total: e.Total, Latency: r.now - c.at})
@@ -381,6 +403,12 @@
 		}
 	case countTimer:
 		r.counted(CountResult{Call: t.key.ID, Status: logic.Timeout})
+	case planTimer:
+		r.planned = 0
+		r.turn()
+	case reserveTimer:
+		r.tending = false
+		r.reserves.Tick(r.now)
 	case probeTimer:
 		if p, ok := r.probes[t.key.ID]; ok {
 			delete(r.probes, t.key.ID)
--- /dev/null
+++ b/internal/core/plans.go
@@ -0,0 +1,220 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"bramblefall/internal/plans"
+	"bramblefall/logic"
+)
+
+// Ask puts a question to the plan book, or a change (event). The answer is a Reply effect.
+type Ask struct {
+	Question any         // one of the types below
+	Reply    func(Reply) // is called in the loop's goroutine and must not block
+}
+
+// Replace is a question: take all versions and reservations that a source names now.
+type Replace struct {
+	Source       plans.Source
+	Versions     []plans.Version
+	Reservations []plans.Reservation
+}
+
+// Reread is a question: take the tiers of the platform's configuration, read again.
+type Reread struct{ Tiers []logic.Plan }
+
+// Propose is a question: take one version, or only tell what it would change.
+type Propose struct {
+	Version plans.Version
+	DryRun  bool
+}
+
+// Withdraw is a question: take back a version to come.
+type Withdraw struct{ Number uint64 }
+
+// Grant is a question: take a reservation.
+type Grant struct{ Reservation plans.Reservation }
+
+// Revoke is a question: end a reservation.
+type Revoke struct{ ID string }
+
+// Show is a question: tell what stands.
+type Show struct{}
+
+// Reply answers an Ask.
+type Reply struct {
+	Err     error
+	Effects []plans.Effect // of a proposal
+	Book    plans.Snapshot
+	Uses    map[string]ReservationUse // by the reservation's id
+	Tally   Tally
+	Now     time.Duration
+}
+
+// ReservationUse is what this limiter knows of a reservation's use.
+type ReservationUse struct{ Used, Hand, Leased float64 }
+
+// Tally counts request contexts by the plan version that governed them: the newest few versions.
+type Tally struct{ Versions []VersionTally }
+
+// VersionTally is one version's.
+type VersionTally struct {
+	Number   uint64 `json:"number"`
+	Requests uint64 `json:"requests"`
+}
+
+const mostTallied = 64
+
+// Publish tells the fronts which tiers are in force (effect).
+type Publish struct {
+	Version uint64
+	Tiers   map[string]int
+	Plans   []logic.Plan
+}
+
+// Answered hands the reply of a question to who asked (effect).
+type Answered struct {
+	To    func(Reply)
+	Reply Reply
+}
+
+// Store keeps the book where a state directory is named (effect). Who asked for the change is answered when it is kept.
+type Store struct {
+	Book plans.Snapshot
+	Then *Answered // nil: nobody asked
+}
+
+// tendEvery is how often reservations in use are looked after.
+const tendEvery = 50 * time.Millisecond
+
+// latest bounds a plan timer: one far ahead is set anew.
+const latest = time.Hour
+
+func (t *Tally) count(version uint64) {
+	if n := len(t.Versions); n > 0 && t.Versions[n-1].Number == version {
+		t.Versions[n-1].Requests++
+		return
+	}
+	if len(t.Versions) >= mostTallied {
+		t.Versions = slices.Delete(t.Versions, 0, 1)
+	}
+	t.Versions = append(t.Versions, VersionTally{version, 1})
+}
+
+// Begin brings into force what is due at the start and tells the fronts.
+func (r *Reducer) Begin(now time.Duration, effects []Effect) []Effect {
+	r.now, r.effects = max(r.now, now), effects
+	r.book.Advance(r.now)
+	r.book.Turn(r.now)
+	r.reserves.Set(r.book.Reservations())
+	r.publish()
+	r.alarm()
+	r.lease()
+	return r.effects
+}
+
+// ask answers a question; a change is taken whole or not at all.
+func (r *Reducer) ask(e Ask) {
+	reply := Reply{Now: r.now}
+	changed := true
+	switch q := e.Question.(type) {
+	case Replace:
+		reply.Err = r.book.Replace(q.Source, q.Versions, q.Reservations, r.now, r.gateway.InUse(r.book.Tiers()))
+	case Reread:
+		reply.Err = r.book.Reread(q.Tiers, r.now, r.gateway.InUse(r.book.Tiers()))
+	case Propose:
+		inUse := r.gateway.InUse(r.book.Tiers())
+		reply.Effects = plans.Diff(r.book.Current().Tiers, q.Version.Tiers, inUse)
+		book := r.book
+		if q.DryRun {
+			book, changed = r.book.Clone(), false
+		}
+		reply.Err = book.Propose(q.Version, r.now, inUse)
+	case Withdraw:
+		reply.Err = r.book.Withdraw(q.Number, r.now)
+	case Grant:
+		reply.Err = r.book.Grant(q.Reservation, r.now)
+	case Revoke:
+		reply.Err = r.book.Revoke(q.ID, r.now)
+	case Show:
+		changed = false
+	}
+	changed = changed && reply.Err == nil
+	if changed {
+		r.turn()
+	}
+	reply.Book, reply.Uses = r.book.Snapshot(), map[string]ReservationUse{}
+	reply.Tally.Versions = slices.Clone(r.tally.Versions)
+	for _, x := range reply.Book.Reservations {
+		if u, ok := r.reserves.Use(x.ID); ok {
+			reply.Uses[x.ID] = ReservationUse(u)
+		}
+	}
+	answered := Answered{e.Reply, reply}
+	if changed {
+		r.do(Store{reply.Book, &answered})
+		return
+	}
+	r.do(answered)
+}
+
+// turn moves the book on with time: one moment for all that changes.
+func (r *Reducer) turn() {
+	if r.book.Advance(r.now) {
+		r.publish()
+		r.do(Store{Book: r.book.Snapshot()})
+		r.tell(logic.PlansChanged{})
+	}
+	r.book.Turn(r.now)
+	r.reserves.Set(r.book.Reservations())
+	r.alarm()
+}
+
+func (r *Reducer) publish() {
+	r.do(Publish{r.book.Current().Number, r.book.Tiers(), r.book.Plans()})
+}
+
+// alarm sets a timer for the next version or reservation that is due, if none rings before.
+func (r *Reducer) alarm() {
+	at, due := r.book.Next()
+	if turn, ok := r.book.NextTurn(); ok && (!due || turn < at) {
+		at, due = turn, true
+	}
+	if !due {
+		return
+	}
+	at = min(max(at, r.now+1), r.now+latest)
+	if r.planned == 0 || at < r.planned {
+		r.planned = at
+		r.do(SetTimer{at, Timer{kind: planTimer}})
+	}
+}
+
+// lease makes the calls that the reserves ask for, and looks again at the firms for which something has come, which may
+// ask for more.
+func (r *Reducer) lease() {
+	for {
+		calls, woken, spent := r.reserves.Calls(), r.reserves.Woken(), r.reserves.Spent()
+		if len(calls)+len(woken)+len(spent) == 0 {
+			break
+		}
+		for _, c := range calls {
+			r.next++
+			r.leases[r.next] = c.Token
+			r.do(Count{r.next, c.Name, c.Amount, c.Lives, r.now + c.Wait})
+			r.do(SetTimer{r.now + c.Wait, Timer{countTimer, Key{ID: r.next}}})
+		}
+		for _, id := range spent {
+			r.book.Spend(id, r.now)
+			r.reserves.Set(r.book.Reservations())
+		}
+		for _, firm := range woken {
+			r.tell(logic.Leased{Customer: firm})
+		}
+	}
+	if !r.tending && r.reserves.Active() {
+		r.tending = true
+		r.do(SetTimer{r.now + tendEvery, Timer{kind: reserveTimer}})
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -5,12 +5,14 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/plans"
 	"bramblefall/logic"
 )
 
@@ -26,6 +28,11 @@
 // Counter makes the calls to the counter. It may not block.
 type Counter interface{ Count(core.Count) }
 
+// Keeper keeps the plan book. It may not block.
+type Keeper interface {
+	Keep(book plans.Snapshot, after func(error))
+}
+
 // Refresher asks discovery for the whole list. It may not block.
 type Refresher interface{ Refresh() }
 
@@ -35,6 +42,8 @@
 	callers   []Caller // by group
 	counter   Counter
 	refresher Refresher
+	board     *plans.Board
+	keeper    Keeper // nil: nothing is kept
 
 	ids  atomic.Uint64
 	open atomic.Int64
@@ -50,9 +59,16 @@
 // New makes a loop; Run starts it once its parts are set.
 func New(r *core.Reducer) *Loop { return &Loop{reducer: r, wake: make(chan struct{}, 1)} }
 
-// Connect sets the parts that effects go to: the callers by group, the counter and discovery.
-func (l *Loop) Connect(callers []Caller, counter Counter, refresher Refresher) {
-	l.callers, l.counter, l.refresher = callers, counter, refresher
+// Connect sets the parts that effects go to: the callers by group, the counter, discovery, the board that shows the
+// plans, and who keeps them (nil: nobody).
+func (l *Loop) Connect(callers []Caller, counter Counter, refresher Refresher, board *plans.Board, keeper Keeper) {
+	l.callers, l.counter, l.refresher, l.board, l.keeper = callers, counter, refresher, board, keeper
+}
+
+// Begin brings into force what is due before the first event. It is called before Run.
+func (l *Loop) Begin() {
+	l.effects = l.reducer.Begin(Now(), l.effects)
+	l.flush()
 }
 
 // ID is a new request context's.
@@ -120,6 +136,11 @@
 		l.effects = l.reducer.Reduce(now, due.Timer, l.effects)
 	}
 	l.open.Store(int64(l.reducer.Open()))
+	l.flush()
+}
+
+// flush runs the effects that are asked for.
+func (l *Loop) flush() {
 	for k := range l.effects {
 		l.run(l.effects[k])
 		l.effects[k] = nil
@@ -153,11 +174,35 @@
 		l.callers[e.Group].CloseIdle(e.Server)
 	case core.Refresh:
 		l.refresher.Refresh()
+	case core.Publish:
+		l.board.Show(plans.Sheet{Version: e.Version, Tiers: e.Tiers, Plans: e.Plans})
+		slog.Info("plans in force", "version", e.Version, "tiers", len(e.Tiers))
+	case core.Answered:
+		e.To(e.Reply)
+	case core.Store:
+		l.store(e)
 	case core.Log:
 		slog.Info("module", "says", e.Text)
 	}
 }
 
+func (l *Loop) store(e core.Store) {
+	answer := func(err error) {
+		if e.Then == nil {
+			return
+		}
+		if err != nil {
+			e.Then.Reply.Err = fmt.Errorf("in force, but not kept for a restart: %w", err)
+		}
+		e.Then.To(e.Then.Reply)
+	}
+	if l.keeper == nil {
+		answer(nil)
+		return
+	}
+	l.keeper.Keep(e.Book, answer)
+}
+
 type timers []core.SetTimer
 
 func (t timers) Len() int           { return len(t) }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,6 +20,7 @@
 
 	"bramblefall/internal/core"
 	"bramblefall/internal/lastwords"
+	"bramblefall/internal/plans"
 	"bramblefall/internal/resp"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
@@ -55,7 +56,7 @@
 	owner   Owner
 	set     logic.Settings
 	classes map[string]int
-	plans   map[string]int
+	board   *plans.Board
 	most    int // client connections
 	open    int // request contexts
 
@@ -69,9 +70,9 @@
 	ids   map[string]struct{} // of the requests in hand
 }
 
-// New makes a front for the settings' classes and plans that holds so many client connections at most.
-func New(set logic.Settings, owner Owner, most int) *Front {
-	f := &Front{owner: owner, set: set, classes: map[string]int{}, plans: map[string]int{}, most: most, open: defaultOpen,
+// New makes a front for the settings' classes and the board's plans that holds so many client connections at most.
+func New(set logic.Settings, owner Owner, board *plans.Board, most int) *Front {
+	f := &Front{owner: owner, set: set, classes: map[string]int{}, board: board, most: most, open: defaultOpen,
 		clients: map[*clientConnection]struct{}{}, ids: map[string]struct{}{}}
 	if set.MaxOpen > 0 {
 		f.open = min(set.MaxOpen, 2*defaultOpen)
@@ -79,9 +80,6 @@
 	for k, c := range set.Classes {
 		f.classes[c.Name] = k
 	}
-	for k, p := range set.Plans {
-		f.plans[p.Name] = k
-	}
 	return f
 }
 
@@ -503,7 +501,7 @@
 		case "c":
 			q.Class, known = index(f.classes, text, known)
 		case "t":
-			q.Plan, known = index(f.plans, text, known)
+			q.Plan, known = index(f.board.Sheet().Tiers, text, known)
 		case "d":
 			ms, err = strconv.ParseFloat(text, 64)
 			r.wait = [2]int{at + 2, at + end}
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -25,6 +25,7 @@
 
 	"bramblefall/internal/core"
 	"bramblefall/internal/lastwords"
+	"bramblefall/internal/plans"
 	"bramblefall/logic"
 )
 
@@ -59,21 +60,18 @@
 	domain  string
 	others  bool // a service of others has the last word on what is within the quotas
 	classes map[string]int
-	plans   map[string]int
+	board   *plans.Board
 	server  *grpc.Server
 	health  *health.Server // proxies ask it whether to send calls here
 }
 
 // NewFront makes a front for the callers of a domain ("": any). With others, each request context that is within
 // its quota becomes a call to the group of such services; without, the module's word is the verdict.
-func NewFront(set logic.Settings, owner Owner, domain string, others bool) *Front {
-	f := &Front{owner: owner, set: set, domain: domain, others: others, classes: map[string]int{}, plans: map[string]int{}}
+func NewFront(set logic.Settings, owner Owner, board *plans.Board, domain string, others bool) *Front {
+	f := &Front{owner: owner, set: set, domain: domain, others: others, classes: map[string]int{}, board: board}
 	for k, c := range set.Classes {
 		f.classes[c.Name] = k
 	}
-	for k, p := range set.Plans {
-		f.plans[p.Name] = k
-	}
 	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(mostCall), grpc.MaxConcurrentStreams(mostCalls),
 		grpc.UnaryInterceptor(guarded))
 	rlsv3.RegisterRateLimitServiceServer(f.server, f)
@@ -246,10 +244,11 @@
 
 // limit tells the plan's quota. Rates may be fractions of a unit a second, so it is told a minute.
 func (f *Front) limit(plan int) *rlsv3.RateLimitResponse_RateLimit {
-	p := f.set.Plans[plan]
-	if p.Rate <= 0 {
+	all := f.board.Sheet().Plans
+	if plan >= len(all) || all[plan].Rate <= 0 { // it may have gone since the call came
 		return nil
 	}
+	p := all[plan]
 	return &rlsv3.RateLimitResponse_RateLimit{Name: p.Name, RequestsPerUnit: uint32(math.Round(60 * p.Rate)),
 		Unit: rlsv3.RateLimitResponse_RateLimit_MINUTE}
 }
@@ -300,7 +299,7 @@
 	if c.Class, known = f.classes[entries["class"]]; !known {
 		return fmt.Errorf("unknown class %q", entries["class"])
 	}
-	if c.Plan, known = f.plans[entries["tier"]]; !known {
+	if c.Plan, known = f.board.Sheet().Tiers[entries["tier"]]; !known {
 		return fmt.Errorf("unknown tier %q", entries["tier"])
 	}
 	c.Spread = f.set.Gateways // a caller that names no set may come through all
--- a/logic/api.go
+++ b/logic/api.go
@@ -36,14 +36,34 @@
 	Streamed      bool
 }
 
-// Plan is what a customer bought; its quotas count over all gateways.
+// Plan is what a customer bought; its quotas count over all gateways. The names are those of the operators' file.
 type Plan struct {
-	Name                                    string  // for the fronts; no decision depends on it
-	Rate, Burst                             float64 // units a second and the store's size; Rate 0: no such quota
-	Open                                    int     // attempts out at once; 0: no such quota
-	Price                                   float64
-	OverWorth, OverCost                     float64 // of a request's worth, when sent beyond the quota
-	CeilingRate, CeilingBurst, CeilingSlack float64 // CeilingRate 0: no ceiling
+	Name         string  `json:"name"`          // for the fronts; no decision depends on it
+	Rate         float64 `json:"rate"`          // units a second; 0: no such quota
+	Burst        float64 `json:"burst"`         // units that the store holds
+	Open         int     `json:"open"`          // attempts out at once; 0: no such quota
+	Price        float64 `json:"price"`         // factor of a request's worth
+	OverWorth    float64 `json:"over_worth"`    // of a request's worth, when sent beyond the quota
+	OverCost     float64 `json:"over_cost"`     // likewise
+	CeilingRate  float64 `json:"ceiling_rate"`  // units a second; 0: no ceiling
+	CeilingBurst float64 `json:"ceiling_burst"` // units that the ceiling's store holds
+	CeilingSlack float64 `json:"ceiling_slack"` // units by which it may fall below 0
+}
+
+// Book tells the figures that firms are held to, where they may change in service. It does no I/O and reads no clock.
+type Book interface {
+	// Plan is the plan in force of a firm whose requests name this tier, by its number; false: there is no such tier.
+	Plan(firm uint64, tier int) (Plan, bool)
+}
+
+// Reserves holds what this gateway has leased of firms' reservations. It does no I/O and reads no clock.
+type Reserves interface {
+	// Take takes units of what is leased here, or notes that the firm wants them.
+	Take(now time.Duration, firm uint64, units float64) bool
+	// Return gives back what was taken for a request that was never sent on.
+	Return(now time.Duration, firm uint64, units float64)
+	// Coming tells whether more may be leased for the firm within a moment.
+	Coming(now time.Duration, firm uint64) bool
 }
 
 // Settings are what a gateway is told at its start.
@@ -190,6 +210,12 @@
 // Closing says that the gateway is about to end: every request gets its final answer now (event).
 type Closing struct{}
 
+// PlansChanged says that the book tells other figures from now on (event).
+type PlansChanged struct{}
+
+// Leased says that units of a firm's reservation have come, or that there are none any more (event).
+type Leased struct{ Customer uint64 }
+
 // Timer is an alarm that has rung (event).
 type Timer struct{ Token uint32 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -120,12 +120,13 @@
 	if g.requests[q.ID] != nil {
 		return
 	}
-	bad := q.Class < 0 || q.Class >= len(g.set.Classes) || q.Plan < 0 || q.Plan >= len(g.set.Plans)
-	if bad || q.TTL <= guard || !(q.Units >= 0) || q.Units > 1e6 {
+	plan, known := g.planOf(q.Customer, q.Plan)
+	known = known && q.Class >= 0 && q.Class < len(g.set.Classes)
+	if !known || q.TTL <= guard || !(q.Units >= 0) || q.Units > 1e6 {
 		g.do(Refuse{ID: q.ID}) // nothing can be done in time: due at once, and no later try would fare better
 		return
 	}
-	r := &request{Request: q, class: g.set.Classes[q.Class], plan: g.set.Plans[q.Plan], luck: g.random(),
+	r := &request{Request: q, class: g.set.Classes[q.Class], plan: plan, luck: g.random(),
 		fleet: g.group(q.Group)}
 	r.TTL = min(r.TTL, time.Hour)
 	r.deadline = g.now + r.TTL - guard
@@ -236,36 +237,44 @@
 	c := g.customers[r.Customer]
 	if c == nil {
 		p := r.plan
-		c = &customer{id: r.Customer, plan: p, filled: g.now}
+		c = &customer{id: r.Customer, tier: r.Plan, figured: g.figured, filled: g.now}
 		c.n = float64(min(max(r.Spread, 1), g.set.Gateways))
 		c.place = float64(((g.set.Rank-r.First)%g.set.Gateways + g.set.Gateways) % g.set.Gateways)
-		c.span, c.busyAt = minSpan, busyCap
-		if p.Rate > 0 {
-			c.busyAt = busyRate
-			c.sparse = c.n > ownView && c.store() < g.units
-			c.span = max(time.Duration(p.Burst/p.Rate*float64(time.Second)), minSpan)
-			if g.blind == 0 {
-				c.span = min(c.span, maxSpan)
-			}
-		} else if c.sparse = c.n > ownView && float64(p.Open)/c.n < wholeShare; c.sparse {
-			c.span = drawSpan
-		}
-		c.phase = time.Duration(mix(c.id) % uint64(c.span)) // customers' intervals end at different times
-		c.number = c.interval(g.now)
-		c.part = c.even()
+		g.figure(c, p)
 		c.level = p.Burst / c.n
 		// A fresh gateway may be a restarted one: its store of the ceiling has only its part of the slack.
 		c.ceiling = 0.9 * p.CeilingSlack / c.n
 		g.customers[r.Customer] = c
 		g.order = append(g.order, c)
 	}
+	g.refigure(c)
 	c.seen = g.now
 	return c
 }
 
+// figure sets what follows from a plan's figures: the interval, whether the part is drawn, and the even part.
+func (g *Gateway) figure(c *customer, p Plan) {
+	c.plan, c.print = p, fingerprint(p)
+	c.span, c.busyAt, c.sparse = minSpan, busyCap, false
+	if p.Rate > 0 {
+		c.busyAt = busyRate
+		c.sparse = c.n > ownView && c.store() < g.units
+		c.span = max(time.Duration(p.Burst/p.Rate*float64(time.Second)), minSpan)
+		if g.blind == 0 {
+			c.span = min(c.span, maxSpan)
+		}
+	} else if c.sparse = c.n > ownView && float64(p.Open)/c.n < wholeShare; c.sparse {
+		c.span = drawSpan
+	}
+	c.phase = time.Duration(mix(c.id) % uint64(c.span)) // customers' intervals end at different times
+	c.number = c.interval(g.now)
+	c.part = c.even()
+}
+
 // rollCustomers ends intervals: it makes the forecast and tells it where it matters.
 func (g *Gateway) rollCustomers() {
 	for _, c := range g.order {
+		g.refigure(c)
 		if n := c.interval(g.now); n != c.number {
 			c.roll(int(min(n-c.number, 100)))
 			c.number = n
@@ -375,6 +384,11 @@
 		if first && !complete && c.forecast > c.even() {
 			c.readAt = g.now + max(g.set.CounterLimit, 3*tick) // the others have told by then
 		}
+	case what == use && waiting[0].figured != c.figured: // counted under other figures: it says nothing of these
+		if r != nil {
+			r.draws = mostDraws
+			g.admit(r)
+		}
 	case what == use:
 		most, left := c.most(g), c.ends()-g.now
 		if e.Name == c.name(use) { // a short look at an interval's start says little
@@ -613,14 +627,14 @@
 	if c.plan.Open > 0 {
 		wait = max(wait, r.fleet.latency/float64(time.Second)*float64(len(c.held))*c.n/float64(c.plan.Open))
 	}
-	return time.Duration(min(wait, 3600) * float64(time.Second))
+	return g.lentSoon(c, time.Duration(min(wait, 3600)*float64(time.Second)))
 }
 
 // pass lets a request through the customer's gate if its part has room.
 func (g *Gateway) pass(r *request) bool {
 	c := r.cust
 	if !c.fits(r, g) || !c.underCeiling(r) {
-		return false
+		return g.lend(r)
 	}
 	if c.plan.Rate > 0 {
 		c.level -= r.Units
@@ -635,7 +649,7 @@
 func (g *Gateway) through(r *request) {
 	r.ready, r.holds = !r.Admit, true
 	r.cust.out++
-	if r.plan.CeilingRate > 0 {
+	if r.cust.plan.CeilingRate > 0 {
 		r.cust.ceiling -= r.Units
 	}
 	if r.Admit { // sent on elsewhere: it has taken its units, and no attempt of it will end here
@@ -666,7 +680,7 @@
 			c.held, k, waits = without(c.held, r), 0, -1
 		case g.pass(r):
 			c.held, k, waits = without(c.held, r), 0, -1
-			if c.plan.Rate > 0 {
+			if c.plan.Rate > 0 && !r.lent {
 				c.release = g.now + time.Duration(r.Units*c.spacing()*float64(time.Second))
 			}
 		default:
--- a/logic/state.go
+++ b/logic/state.go
@@ -32,11 +32,14 @@
 	draws               int
 	luck                float64 // drawn once: asking again must not change the odds
 	slot                uint64  // name of the count that this one's slot is from
+	lent                bool    // goes on its firm's reservation
 }
 
 type customer struct {
 	id                      uint64
 	plan                    Plan
+	tier, figured           int           // its tier's number; the change that plan is from
+	print                   uint64        // of the figures that counts are told in
 	n, place                float64       // gateways the customer may use; this one's place among them
 	busyAt                  float64       // the load from which draws decide
 	sparse                  bool          // the part cannot hold a request: drawn on demand
@@ -63,6 +66,8 @@
 	req  *request // that waits for it; nil: none
 	what int64
 	told bool // it added this gateway's own figures, did not only read
+
+	figured int // the change of plans that its figures are from
 }
 
 // word is what was heard of a customer's load.
@@ -102,6 +107,9 @@
 // Gateway holds what one gateway knows.
 type Gateway struct {
 	set                Settings
+	book               Book     // nil: the settings' plans stay
+	reserves           Reserves // nil: there are none
+	figured            int      // changes of plans so far
 	rng                uint64
 	now                time.Duration
 	probes             bool
@@ -189,8 +197,11 @@
 // even is g: the part of a gateway that knows nothing of the others.
 func (c *customer) even() float64 { return c.quota() / c.n }
 
-// name is that of one of the interval's counts: gateways agree on it without talk.
-func (c *customer) name(what int64) uint64 { return mix(c.id ^ mix(uint64(c.number<<2|what))) }
+// name is that of one of the interval's counts: gateways agree on it without talk. Those that hold the firm to other
+// figures count in other steps and intervals, so theirs have other names.
+func (c *customer) name(what int64) uint64 {
+	return mix(c.id ^ c.print ^ mix(uint64(c.number<<2|what)))
+}
 
 // One float of 24 bits carries three sums: two up to 127, one up to 1023.
 func pack(gateways, within, forecasts float64) float64 {
@@ -259,6 +270,13 @@
 		} else if r := g.tokens[e.Token]; r != nil && !r.streaming {
 			g.giveUp(r)
 		}
+	case PlansChanged:
+		g.replan()
+	case Leased:
+		if c := g.customers[e.Customer]; c != nil && len(c.held) > 0 {
+			g.reconsider(c)
+			g.dispatch()
+		}
 	case ProbeResult:
 		g.probed(e)
 	case Message:
@@ -317,6 +335,9 @@
 	if r.attempts == 0 && r.drawn {
 		r.cust.level += r.Units
 	}
+	if r.attempts == 0 && r.lent {
+		g.reserves.Return(g.now, r.cust.id, r.Units)
+	}
 	if r.ready {
 		r.ready = false
 		g.queue = without(g.queue, r)
@@ -333,7 +354,7 @@
 
 // call notes a counter call whose answer is due and makes it.
 func (g *Gateway) call(c *customer, name uint64, what int64, amount float64, r *request) {
-	g.calls[name] = append(g.calls[name], call{c, r, what, amount > 0})
+	g.calls[name] = append(g.calls[name], call{c, r, what, amount > 0, c.figured})
 	wait := lateSums
 	if r != nil {
 		wait = 0 // a request is held up
