--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -36,7 +36,7 @@
 		panic(err)
 	}
 	binary = filepath.Join(dir, "bramblefall")
-	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", dir+"/", ".", "../bramblefall-eval").CombinedOutput()
 	if err != nil {
 		panic(string(out))
 	}
--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -81,11 +81,9 @@
 		c.Flags().StringVar(&o.ratelimit, "ratelimit", "", "a JSON file that says where the gRPC front listens; the operators' file says it, too")
 		c.Flags().StringVar(&o.level, "log", "info", "log level: debug, info, warn or error")
 	}
-	evaluate := &cobra.Command{Use: operator.Command + " FILE", Hidden: true, Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error { return operator.Main(args[0], c.OutOrStdout()) }}
 	version := &cobra.Command{Use: "version", Short: "Tell which build this is", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return tellVersion(c) }}
-	root.AddCommand(serve, evaluate, version, checkCommand(), plansCommand(), reserveCommand())
+	root.AddCommand(serve, version, checkCommand(), plansCommand(), reserveCommand())
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	return root
 }
@@ -140,9 +138,5 @@
 	if path == "" {
 		return operator.File{Limits: plans.DefaultLimits}, nil
 	}
-	self, err := os.Executable()
-	if err != nil {
-		return operator.File{}, err
-	}
-	return operator.Read(self, path)
+	return operator.Read(path)
 }
--- a/internal/operator/file_test.go
+++ b/internal/evaluate/file_test.go
@@ -1,4 +1,4 @@
-package operator
+package evaluate
 
 import (
 	"testing"
@@ -30,13 +30,13 @@
 		"a function":       {"bramblefall(plans = [len])\n", "o.star:1: plans[0]: a builtin_function_or_method cannot stand here"},
 		"I/O":              {"load('x.star', 'y')\nbramblefall()\n", "o.star:1: "},
 	} {
-		_, err := Evaluate("/etc/o.star", []byte(c.script))
+		_, err := File("/etc/o.star", []byte(c.script))
 		require.ErrorContains(t, err, c.says, name)
 	}
 }
 
 func TestFunctionsAndLoopsMakeAFile(t *testing.T) {
-	f, err := Evaluate("/etc/bramblefall/o.star", []byte(`
+	f, err := File("/etc/bramblefall/o.star", []byte(`
 def pool(scale):
     return [tier(name = n, rate = scale * r, burst = 5 * scale * r) for n, r in {"associate": 1, "full": 10}.items()]
 
@@ -64,7 +64,7 @@
 	f.Add("bramblefall(reservations = [reservation(id = 'r', firm = 'b4', units = 100, start = 1000, end = 1010)])")
 	f.Add("def f(): return {1: 2}\nbramblefall(limits = f())")
 	f.Fuzz(func(t *testing.T, script string) {
-		if file, err := Evaluate("o.star", []byte(script)); err == nil {
+		if file, err := File("o.star", []byte(script)); err == nil {
 			for _, v := range file.Plans {
 				require.NotEmpty(t, v.Tiers)
 			}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -32,7 +32,7 @@
 // Build compiles the limiter from the module that the lab is started in.
 func Build(ctx context.Context, dir string) (string, error) {
 	path := filepath.Join(dir, "bramblefall")
-	out, err := exec.CommandContext(ctx, "go", "build", "-o", path, "bramblefall/cmd/bramblefall").CombinedOutput()
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", dir+"/", "bramblefall/cmd/bramblefall", "bramblefall/cmd/bramblefall-eval").CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build the limiter: %w: %s", err, out)
 	}
