A model of the exchange in virtual time, with the limiter's real reducer in it

Change: internal/model has nodes, halls, counter, discovery, clients, thirteen kinds of faults, an auditor that knows the truth, and eight textbook policies to compare with; one goroutine, deterministic by seed. Measured: mean waits within 3% of Erlang's and Pollaczek and Khinchine's; the same bytes from eight goroutines; no kind of fault breaks a rule on three seeds each.

--- /dev/null
+++ b/internal/model/audit.go
@@ -0,0 +1,304 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bramblefall/logic"
+)
+
+// ledger is a firm's stores as one limiter that saw all would keep them: what was asked for, what was sent on, and the
+// ceiling.
+type ledger struct {
+	plan              logic.Plan
+	asked, sent, ceil store
+}
+
+type store struct {
+	level float64
+	at    time.Duration
+}
+
+func (s *store) fill(now time.Duration, rate, burst float64) {
+	s.level = min(s.level+rate*(now-s.at).Seconds(), burst)
+	s.at = now
+}
+
+func newLedger(p logic.Plan) *ledger {
+	return &ledger{p, store{p.Burst, 0}, store{p.Burst, 0}, store{p.CeilingBurst, 0}}
+}
+
+// ask takes a unit of what is asked for; false: it is beyond the quota.
+func (l *ledger) ask(now time.Duration) bool {
+	l.asked.fill(now, l.plan.Rate, l.plan.Burst)
+	if l.asked.level < 1 {
+		return false
+	}
+	l.asked.level--
+	return true
+}
+
+// send takes a unit of what is sent on. over is by how much the ceiling with its slack is passed.
+func (l *ledger) send(now time.Duration) (inside bool, over float64) {
+	l.sent.fill(now, l.plan.Rate, l.plan.Burst)
+	if inside = l.sent.level >= 1; inside {
+		l.sent.level--
+	}
+	if l.plan.CeilingRate > 0 {
+		l.ceil.fill(now, l.plan.CeilingRate, l.plan.CeilingBurst)
+		l.ceil.level--
+		over = max(0, -l.ceil.level-l.plan.CeilingSlack)
+	}
+	return inside, over
+}
+
+// room is the share of the store that is left.
+func (l *ledger) room(now time.Duration) float64 {
+	l.sent.fill(now, l.plan.Rate, l.plan.Burst)
+	return l.sent.level / max(l.plan.Burst, 1)
+}
+
+// audit stands beside the model and knows the truth.
+type audit struct {
+	w       *World
+	r       Result
+	latency *hdrhistogram.Histogram
+	refuse  []int
+	tries   []int
+}
+
+// Result is what a run came to.
+type Result struct {
+	Scenario, Policy string
+	Seed             uint64
+	Requests         int // first tries of clients, counted
+	Tries            int
+	Served           int
+	ServedLate       int
+	Refused          int
+	Failed           int
+	Lost             int // held by a limiter that died
+	Attempts         int
+	WorthAsked       float64 // inside the quotas
+	WorthServed      float64
+	SentUnits        float64
+	BeyondUnits      float64
+	RoomRefused      int // refused while half of the quota was left
+	Calls            int
+	CeilingOver      float64 // units
+	Violations       []string
+	Broken           int
+	Median, P99      float64   // seconds, of what was served
+	RefusedByTier    []float64 // share of the tries
+	Events           uint64
+	CPU              time.Duration // of the deciders, where measured
+	Firms            int
+}
+
+// Worth is the share of the worth asked for inside the quotas that was served.
+func (r Result) Worth() float64 { return r.WorthServed / max(r.WorthAsked, 1e-9) }
+
+// OverQuota is the share of the units sent on that was beyond a quota.
+func (r Result) OverQuota() float64 { return r.BeyondUnits / max(r.SentUnits, 1) }
+
+// CallsEach is the counter calls for each first try.
+func (r Result) CallsEach() float64 { return float64(r.Calls) / float64(max(r.Requests, 1)) }
+
+// RefusedShare is the refusals, of the tries.
+func (r Result) RefusedShare() float64 { return float64(r.Refused) / float64(max(r.Tries, 1)) }
+
+// Check holds a result against bounds.
+func (r Result) Check(b Bounds) (broken []string) {
+	bad := func(holds bool, text string, args ...any) {
+		if !holds {
+			broken = append(broken, fmt.Sprintf(text, args...))
+		}
+	}
+	bad(r.Broken <= b.Violations, "%d broken rules, first %v", r.Broken, r.Violations)
+	bad(b.Worth == 0 || r.Worth() >= b.Worth, "worth served %.3f, %.3f is the least", r.Worth(), b.Worth)
+	bad(b.OverQuota == 0 || r.OverQuota() <= b.OverQuota, "%.2f%% beyond quotas, %.2f%% is the most", 100*r.OverQuota(), 100*b.OverQuota)
+	bad(b.CallsEach == 0 || r.CallsEach() <= b.CallsEach, "%.2f counter calls a request, %.2f is the most", r.CallsEach(), b.CallsEach)
+	bad(b.P99 == 0 || r.P99 <= b.P99, "99th percentile %.3f s, %.3f is the most", r.P99, b.P99)
+	return broken
+}
+
+func newAudit(w *World) *audit {
+	return &audit{w: w, latency: hdrhistogram.New(1, 60_000_000, 3), refuse: make([]int, len(w.s.Tiers)), tries: make([]int, len(w.s.Tiers))}
+}
+
+// counts tells whether a request's first try came after the warm-up.
+func (a *audit) counts(r *request) bool { return r.began >= begin+seconds(a.w.s.Warm) }
+
+const mostTold = 10
+
+func (a *audit) violation(r *request, text string) {
+	if a.r.Broken++; len(a.r.Violations) < mostTold {
+		a.r.Violations = append(a.r.Violations, fmt.Sprintf("%.3f s, request %d of firm %x at limiter %d: %s [%v]",
+			(a.w.sim.now-begin).Seconds(), r.id, r.f.id, r.l.rank, text, r.trace))
+	}
+}
+
+func (a *audit) worth(r *request) float64 {
+	return a.w.classes[r.class].Worth * a.w.s.Tiers[r.f.tier].Price
+}
+
+func (a *audit) asked(r *request) {
+	if !a.counts(r) {
+		return
+	}
+	a.r.Requests++
+	if r.asked {
+		a.r.WorthAsked += a.worth(r)
+	}
+}
+
+func (a *audit) taken(r *request) {
+	if a.counts(r) {
+		a.r.Tries++
+		a.tries[r.f.tier]++
+	}
+}
+
+// tried sees an attempt leave: nothing new may go to a node that the limiter was told drains or is gone.
+func (a *audit) tried(l *limiter, n *node, r *request) {
+	r.tries++
+	a.r.Attempts++
+	if at, left := l.left[n.id]; left && a.w.sim.now > at+500*time.Millisecond {
+		a.violation(r, fmt.Sprintf("sent to node %d, told to be leaving %.3f s before", n.id, (a.w.sim.now-at).Seconds()))
+	}
+}
+
+// came sees an attempt come whole: the first takes the units, and no keyed request may run in two halls.
+func (a *audit) came(f *flight, r *request, try int) {
+	now := a.w.sim.now
+	if len(r.trace) < 12 {
+		r.trace = append(r.trace, fmt.Sprintf("try %d at node %d hall %d %.3f", try, f.n.id, f.n.hall, (now-begin).Seconds()))
+	}
+	if !r.sent {
+		r.sent = true
+		in, over := r.f.truth.send(now)
+		r.in = in
+		if a.counts(r) {
+			a.r.SentUnits++
+			if !in {
+				a.r.BeyondUnits++
+				a.r.WorthServed -= a.w.s.Tiers[r.f.tier].OverCost * a.worth(r)
+			}
+		}
+		if over > 0 {
+			if a.r.CeilingOver == 0 || over > a.r.CeilingOver+1 {
+				a.violation(r, fmt.Sprintf("the ceiling was passed by %.2f units", over))
+			}
+			a.r.CeilingOver = max(a.r.CeilingOver, over)
+		}
+	}
+	c := a.w.classes[r.class]
+	if c.Keyed && r.maybe > 0 && (f.n.hall != r.hall || now > r.ranAt+seconds(c.KeyTTL)) {
+		a.violation(r, fmt.Sprintf("may have run in hall %d and was sent to hall %d", r.hall, f.n.hall))
+	}
+	if r.maybe++; r.maybe == 1 {
+		r.hall, r.ranAt = f.n.hall, now
+	}
+}
+
+// told sees what the limiter is told of an attempt that had come: one that was turned away has not run.
+func (a *audit) told(f *flight, s logic.Status) {
+	if s == logic.Full {
+		f.req.maybe--
+	}
+}
+
+// pressed sees work come to a node: sent more than three times what it can do at the moment for three seconds, a cold
+// one falls over and stays down.
+func (a *audit) pressed(n *node, work float64) {
+	now := a.w.sim.now
+	if n.started == 0 || n.warmth() >= 1 || n.over {
+		return
+	}
+	const window = 3 * time.Second
+	n.pushed = append(n.pushed, push{now, work})
+	for len(n.pushed) > 0 && n.pushed[0].at < now-window {
+		n.pushed = n.pushed[1:]
+	}
+	sum := 0.0
+	for _, p := range n.pushed {
+		sum += p.work
+	}
+	can := n.warmth() * float64(a.w.s.Node.Cores) * window.Seconds()
+	slack := 3 * 0.2 * math.Sqrt(float64(a.w.s.Node.Cores))
+	if sum > 3*can+slack {
+		n.over = true
+		a.r.Broken++
+		if len(a.r.Violations) < mostTold {
+			a.r.Violations = append(a.r.Violations, fmt.Sprintf("%.3f s: node %d was pushed over, %.1f s of work in 3 s at a warmth of %.2f",
+				(now-begin).Seconds(), n.id, sum, n.warmth()))
+		}
+		n.end(false)
+		a.w.changed(n)
+	}
+}
+
+func (a *audit) served(r *request) {
+	if !a.counts(r) {
+		return
+	}
+	a.r.Served++
+	took := a.w.sim.now - r.began
+	_ = a.latency.RecordValue(took.Microseconds())
+	worth := a.worth(r)
+	if !r.in {
+		worth *= a.w.s.Tiers[r.f.tier].OverWorth
+	}
+	if took > seconds(a.w.classes[r.class].Aim) {
+		a.r.ServedLate++
+		worth *= a.w.classes[r.class].Late
+	}
+	a.r.WorthServed += worth
+}
+
+func (a *audit) refused(r *request) {
+	if c := a.w.classes[r.class]; c.Keyed && r.maybe > 0 {
+		a.violation(r, "may have run and was refused as harmless to repeat")
+	}
+	if !a.counts(r) {
+		return
+	}
+	a.r.Refused++
+	a.refuse[r.f.tier]++
+	if r.f.truth.room(a.w.sim.now) >= 0.5 {
+		a.r.RoomRefused++
+	}
+}
+
+func (a *audit) failed(r *request) {
+	if a.counts(r) {
+		a.r.Failed++
+	}
+}
+
+func (a *audit) lost(r *request) {
+	if a.counts(r) {
+		a.r.Lost++
+	}
+}
+
+func (a *audit) result() Result {
+	r := a.r
+	r.Scenario, r.Policy, r.Seed = a.w.s.Name, a.w.policy.Name, a.w.seed
+	r.Calls = a.w.counter.Calls
+	r.Median = float64(a.latency.ValueAtQuantile(50)) / 1e6
+	r.P99 = float64(a.latency.ValueAtQuantile(99)) / 1e6
+	for k := range a.refuse {
+		r.RefusedByTier = append(r.RefusedByTier, float64(a.refuse[k])/float64(max(a.tries[k], 1)))
+	}
+	r.Events, r.Firms = a.w.sim.Events, a.w.s.Firms.Count+int(a.w.scanned)
+	for _, l := range a.w.limiters {
+		r.CPU += l.CPU
+	}
+	slices.Sort(r.Violations)
+	return r
+}
--- /dev/null
+++ b/internal/model/model_test.go
@@ -0,0 +1,158 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/logic"
+)
+
+// lone is a world of one node with unlimited waiting room and no policy at work.
+func lone(seed uint64, cores int) (*World, *node) {
+	s := Base()
+	s.Nodes, s.Limiters, s.Firms.Count = 1, 1, 1
+	s.Node = NodeKind{Cores: cores, Slots: cores, Queue: 1 << 30}
+	w := New(s, seed, Own(), false)
+	w.firms[0].over = true
+	return w, w.nodes[0]
+}
+
+// waits is the mean time in the queue of n requests at a load.
+func waits(seed uint64, cores int, load, cv2 float64, n int) float64 {
+	w, node := lone(seed, cores)
+	w.limiters[0].die() // its ticks are of no use here
+	rng := source(seed, "arrivals", 0)
+	sum, done := 0.0, 0
+	rate := load * float64(cores)
+	var arrive func(left int)
+	arrive = func(left int) {
+		if left == 0 {
+			return
+		}
+		came, took := w.sim.now, work(rng, 1, cv2)
+		node.take(&job{work: took, reply: func(logic.Status) {
+			if done++; done > n/20 { // the first find it empty
+				sum += (w.sim.now - came).Seconds() - took
+			}
+		}})
+		w.sim.After(seconds(rng.ExpFloat64()/rate), func() { arrive(left - 1) })
+	}
+	arrive(n)
+	w.sim.Run(begin + 1000*time.Hour)
+	return sum / float64(done-n/20)
+}
+
+// The nodes against theory: the mean wait of M/M/c by Erlang's formula, of M/G/1 by Pollaczek and Khinchine's.
+func TestNodesAgreeWithQueueingTheory(t *testing.T) {
+	erlang := func(c int, load float64) float64 {
+		a, term, sum := load*float64(c), 1.0, 0.0
+		for k := range c {
+			sum += term
+			term *= a / float64(k+1)
+		}
+		term /= 1 - load
+		return term / (sum + term) / (float64(c) * (1 - load))
+	}
+	mean := func(cores int, load, cv2 float64) float64 {
+		sum := 0.0
+		for seed := range uint64(6) {
+			sum += waits(seed, cores, load, cv2, 400_000)
+		}
+		return sum / 6
+	}
+	for _, c := range []struct {
+		cores     int
+		load, cv2 float64
+		want      float64
+	}{
+		{1, 0.6, 1, erlang(1, 0.6)}, {3, 0.7, 1, erlang(3, 0.7)}, {8, 0.8, 1, erlang(8, 0.8)},
+		{1, 0.6, 0, 0.6 / (2 * 0.4)}, {1, 0.7, 0.5, 0.7 * 1.5 / (2 * 0.3)}, {1, 0.5, 3, 0.5 * 4 / (2 * 0.5)},
+	} {
+		got := mean(c.cores, c.load, c.cv2)
+		require.InEpsilon(t, c.want, got, 0.03, "%d cores, load %g, cv2 %g", c.cores, c.load, c.cv2)
+	}
+}
+
+func small(seconds float64) Scenario {
+	s := Base()
+	s.Seconds, s.Nodes, s.Firms.Count = seconds, 6, 60
+	return s
+}
+
+// The same seed gives the same result, in one goroutine and in eight at once, whatever the policy.
+func TestTheSameSeedGivesTheSameBytes(t *testing.T) {
+	s := small(10)
+	s.Faults = []Fault{{Kind: FaultFlush, At: 3, Part: 0.7}, {Kind: FaultLimiters, At: 4, For: 2, Part: 0.3}, {Kind: FaultCrash, At: 6, For: 1, Part: 0.2}}
+	for _, p := range append(Textbook(), Own()) {
+		want := fmt.Sprintf("%+v", New(s, 5, p, false).Run())
+		var wg sync.WaitGroup
+		got := make([]string, 8)
+		for k := range got {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				got[k] = fmt.Sprintf("%+v", New(s, 5, p, false).Run())
+			}()
+		}
+		wg.Wait()
+		for _, g := range got {
+			require.Equal(t, want, g, p.Name)
+		}
+		require.NotEqual(t, want, fmt.Sprintf("%+v", New(s, 6, p, false).Run()), p.Name)
+	}
+}
+
+// Every kind of fault by itself breaks no rule of the limiter's.
+func TestNoFaultBreaksARule(t *testing.T) {
+	for _, kind := range faultKinds {
+		for seed := range uint64(3) {
+			s := small(20)
+			s.Faults = []Fault{{Kind: kind, At: 5, For: 6, Part: 0.4, Size: 2, Hall: int(seed % 2)}}
+			r := New(s, seed, Own(), false).Run()
+			require.Empty(t, r.Violations, "%s, seed %d", kind, seed)
+			require.Greater(t, r.Served, 100, "%s, seed %d", kind, seed)
+		}
+	}
+}
+
+// The auditor sees what a policy that knows no ceiling does.
+func TestTheAuditorSeesABrokenCeiling(t *testing.T) {
+	s := small(15)
+	s.Firms.Heavy, s.Firms.HeavyX = 1, Range{8, 8}
+	whole, _ := PolicyNamed("whole-quota+random")
+	r := New(s, 1, whole, false).Run()
+	require.Positive(t, r.CeilingOver)
+	require.NotEmpty(t, r.Violations)
+	require.NotEmpty(t, r.Check(Bounds{}))
+	require.Empty(t, New(s, 1, Own(), false).Run().Violations)
+}
+
+// A node that stands still for two seconds shows in the tail: latency counts from when a client wanted to send.
+func TestAPauseShowsInTheTail(t *testing.T) {
+	s := small(12)
+	calm := New(s, 2, Own(), false).Run()
+	s.Faults = []Fault{{Kind: FaultPause, At: 5, For: 2, Part: 1}}
+	paused := New(s, 2, Own(), false).Run()
+	require.Greater(t, paused.P99, calm.P99)
+	require.Greater(t, paused.P99, 1.5)
+}
+
+func TestGammaHasItsMeanAndSpread(t *testing.T) {
+	for _, cv2 := range []float64{0.2, 0.5, 1, 2, 4} {
+		rng := source(1, "gamma", 0)
+		sum, squares, n := 0.0, 0.0, 400_000
+		for range n {
+			v := work(rng, 2, cv2)
+			sum, squares = sum+v, squares+v*v
+		}
+		mean := sum / float64(n)
+		require.InEpsilon(t, 2, mean, 0.02)
+		require.InEpsilon(t, cv2, (squares/float64(n)-mean*mean)/(mean*mean), 0.05)
+		require.False(t, math.IsNaN(mean))
+	}
+}
--- /dev/null
+++ b/internal/model/scenario.go
@@ -0,0 +1,243 @@
+package model
+
+import (
+	"fmt"
+	"slices"
+
+	"bramblefall/logic"
+)
+
+// Scenario says what is modelled. Times are in seconds unless their name says milliseconds.
+type Scenario struct {
+	Name     string  `json:"name"`
+	Seconds  float64 `json:"seconds"`
+	Warm     float64 `json:"warm"` // at the begin, not counted
+	Limiters int     `json:"limiters"`
+	Nodes    int     `json:"nodes"`
+	Halls    int     `json:"halls"`
+
+	Node      NodeKind      `json:"node"`
+	Network   NetworkKind   `json:"network"`
+	Counter   CounterKind   `json:"counter"`
+	Discovery DiscoveryKind `json:"discovery"`
+	Clients   ClientKind    `json:"clients"`
+	Firms     FirmKind      `json:"firms"`
+	Tiers     []logic.Plan  `json:"tiers"`
+	Shares    []float64     `json:"shares"` // of the firms, by tier
+	Classes   []ClassKind   `json:"classes"`
+	Faults    []Fault       `json:"faults"`
+	Bounds    Bounds        `json:"bounds"`
+}
+
+// NodeKind is what an exchange node is like.
+type NodeKind struct {
+	Cores       int     `json:"cores"`
+	Slots       int     `json:"slots"` // requests in work at once
+	Queue       int     `json:"queue"` // and waiting
+	WorkCV2     float64 `json:"work_cv2"`
+	Thrash      float64 `json:"thrash"` // slowdown for each request in work over the cores
+	ColdShare   float64 `json:"cold_share"`
+	ColdSeconds float64 `json:"cold_seconds"`
+	Cancels     bool    `json:"cancels"` // waiting work that nobody waits for is dropped
+	Conns       int     `json:"conns"`   // at most; 0: any number
+	HandshakeMS float64 `json:"handshake_ms"`
+}
+
+// NetworkKind is the delays, one way.
+type NetworkKind struct {
+	WithinMS Range   `json:"within_ms"`
+	AcrossMS Range   `json:"across_ms"`
+	JitterMS float64 `json:"jitter_ms"` // mean of what is added
+}
+
+// CounterKind is the quota counter.
+type CounterKind struct {
+	PerSecond float64 `json:"per_second"` // of each part
+	Parts     int     `json:"parts"`
+	MS        Range   `json:"ms"`
+	Waiting   int     `json:"waiting"` // calls at once; more are turned away
+	TimeoutMS float64 `json:"timeout_ms"`
+}
+
+// DiscoveryKind is the list of nodes.
+type DiscoveryKind struct {
+	Late Range `json:"late"`
+}
+
+// ClientKind is how clients behave.
+type ClientKind struct {
+	Retries  int     `json:"retries"`
+	Wait     Range   `json:"wait"`
+	GiveUp   Range   `json:"give_up"`   // share of the class's deadline
+	Honour   float64 `json:"honour"`    // share that waits as it is told
+	NoticeS  Range   `json:"notice"`    // how late the front sees that a limiter is down
+	MarksOwn bool    `json:"marks_own"` // retries are marked
+}
+
+// FirmKind is the member firms.
+type FirmKind struct {
+	Count   int     `json:"count"`
+	Use     Range   `json:"use"`      // of the quota, most firms
+	Full    float64 `json:"full"`     // share of firms that use nearly all
+	Heavy   float64 `json:"heavy"`    // share that asks for more
+	HeavyX  Range   `json:"heavy_x"`  // times the quota
+	Spread  Range   `json:"spread"`   // limiters that a firm comes through
+	ShiftS  Range   `json:"shift"`    // the busiest limiter of a firm changes
+	Skew    float64 `json:"skew"`     // share of a firm's requests that come through its busiest limiter
+	OneOffs float64 `json:"one_offs"` // senders a second that send once
+}
+
+// ClassKind is a class of requests.
+type ClassKind struct {
+	Name     string  `json:"name"`
+	Share    float64 `json:"share"`
+	WorkMS   Range   `json:"work_ms"` // its mean is drawn once for a run
+	Aim      float64 `json:"aim"`
+	Deadline float64 `json:"deadline"`
+	Worth    float64 `json:"worth"`
+	Late     float64 `json:"late"`
+	Keyed    bool    `json:"keyed"` // by hall, else safe to repeat
+	KeyTTL   float64 `json:"key_ttl"`
+}
+
+// Fault is something that goes wrong.
+type Fault struct {
+	Kind string  `json:"kind"`
+	At   float64 `json:"at"`
+	For  float64 `json:"for"`
+	Part float64 `json:"part"` // share of what it meets
+	Size float64 `json:"size"` // of a flood: times the usual load
+	Hall int     `json:"hall"`
+}
+
+// Kinds of faults.
+const (
+	FaultFlush    = "flush"    // the counter forgets a part of its names
+	FaultSlow     = "slow"     // the counter's calls take Size times as long
+	FaultSilent   = "silent"   // the counter answers nothing
+	FaultSplit    = "split"    // the counter's callers are on two copies that disagree
+	FaultHot      = "hot"      // three firms flood
+	FaultScan     = "scan"     // one-off senders
+	FaultHall     = "hall"     // a hall is lost, with its limiters where Part is over a half, and comes back cold
+	FaultLimiters = "limiters" // a part of the limiters dies and comes back with nothing
+	FaultStall    = "stall"    // a part of the limiters stands still, as in garbage collection
+	FaultDrain    = "drain"    // a part of the nodes drains, is gone and is replaced by new ones
+	FaultCrash    = "crash"    // a part of the nodes dies and comes back cold
+	FaultPause    = "pause"    // a part of the nodes stands still
+	FaultDeaf     = "deaf"     // discovery tells nothing
+)
+
+var faultKinds = []string{FaultFlush, FaultSlow, FaultSilent, FaultSplit, FaultHot, FaultScan, FaultHall, FaultLimiters, FaultStall,
+	FaultDrain, FaultCrash, FaultPause, FaultDeaf}
+
+// Bounds are what must hold for a run to count as good; 0: not looked at.
+type Bounds struct {
+	Worth      float64 `json:"worth"`       // least share of the worth asked for inside quotas that is served
+	OverQuota  float64 `json:"over_quota"`  // most units sent on beyond quotas, share of all
+	CallsEach  float64 `json:"calls_each"`  // most counter calls for each request
+	Violations int     `json:"violations"`  // broken rules that are borne
+	P99        float64 `json:"p99_seconds"` // of what was served
+}
+
+// Base is a small deployment on a calm day, from which scenarios differ.
+func Base() Scenario {
+	return Scenario{
+		Name: "calm", Seconds: 60, Warm: 2, Limiters: 3, Nodes: 10, Halls: 2,
+		Node: NodeKind{Cores: 3, Slots: 6, Queue: 24, WorkCV2: 0.5, Thrash: 0.02, ColdShare: 0.3, ColdSeconds: 15, Cancels: true,
+			Conns: 256, HandshakeMS: 1},
+		Network:   NetworkKind{WithinMS: Range{0.1, 0.3}, AcrossMS: Range{0.42, 0.78}, JitterMS: 0.05},
+		Counter:   CounterKind{PerSecond: 660, Parts: 1, MS: Range{0.54, 1.4}, Waiting: 64, TimeoutMS: 30},
+		Discovery: DiscoveryKind{Late: Range{0.5, 3}},
+		Clients:   ClientKind{Retries: 1, Wait: Range{0.1, 0.6}, GiveUp: Range{0.5, 1}, Honour: 0.7, NoticeS: Range{1.5, 3.5}, MarksOwn: true},
+		Firms: FirmKind{Count: 120, Use: Range{0.15, 0.5}, Full: 0.18, Heavy: 0.09, HeavyX: Range{1.6, 4.3}, Spread: Range{2, 3},
+			ShiftS: Range{6, 22}, Skew: 0.6},
+		Tiers: []logic.Plan{
+			{Name: "associate", Rate: 0.8, Burst: 4, Price: 0.72, OverCost: 0.6},
+			{Name: "regular", Rate: 3.4, Burst: 17, Price: 1.1, OverCost: 0.5},
+			{Name: "full", Rate: 13, Burst: 26, Price: 1.8, OverCost: 0.5, CeilingRate: 27, CeilingBurst: 52, CeilingSlack: 5.2},
+		},
+		Shares: []float64{0.72, 0.2, 0.08},
+		Classes: []ClassKind{
+			{Name: "balance-read", Share: 0.76, WorkMS: Range{120, 220}, Aim: 1.5, Deadline: 4, Worth: 2, Late: 0.2},
+			{Name: "transfer-post", Share: 0.24, WorkMS: Range{120, 220}, Aim: 1.5, Deadline: 6, Worth: 5, Keyed: true, KeyTTL: 12},
+		},
+	}
+}
+
+// Scale makes the base larger: nodes, limiters and firms, with the load on a node as it is.
+func Scale(limiters, nodes, firms int, oneOffs float64) Scenario {
+	s := Base()
+	s.Limiters, s.Nodes, s.Firms.Count, s.Firms.OneOffs = limiters, nodes, firms, oneOffs
+	s.Firms.Spread = Range{2, min(4, float64(limiters))}
+	s.Counter.Parts = max(1, limiters/3)
+	inside := 0.0 // units a second that the firms would ask for
+	for k, t := range s.Tiers {
+		inside += s.Shares[k] * t.Rate * 0.55
+	}
+	work := 0.17
+	scale := (0.55*float64(nodes)*float64(s.Node.Cores)/work - oneOffs) / (inside * float64(firms))
+	for k := range s.Tiers {
+		t := &s.Tiers[k]
+		for _, v := range []*float64{&t.Rate, &t.CeilingRate} {
+			*v *= scale
+		}
+		t.Burst = max(t.Burst*scale, 4)
+		if t.CeilingRate > 0 {
+			t.CeilingBurst = max(t.CeilingBurst*scale, 2*t.Burst)
+			t.CeilingSlack = max(0.1*t.CeilingBurst, 1)
+		}
+	}
+	s.Name = fmt.Sprintf("%dx%dx%d", limiters, nodes, firms)
+	return s
+}
+
+// Check finds what is wrong with a scenario: field and text, by the field's path.
+func (s Scenario) Check() (all [][2]string) {
+	bad := func(field, text string, args ...any) { all = append(all, [2]string{field, fmt.Sprintf(text, args...)}) }
+	positive := map[string]float64{"seconds": s.Seconds, "limiters": float64(s.Limiters), "nodes": float64(s.Nodes),
+		"halls": float64(s.Halls), "node.cores": float64(s.Node.Cores), "node.slots": float64(s.Node.Slots),
+		"counter.per_second": s.Counter.PerSecond, "counter.parts": float64(s.Counter.Parts), "firms.count": float64(s.Firms.Count),
+		"counter.timeout_ms": s.Counter.TimeoutMS}
+	for _, field := range sorted(positive) {
+		if !(positive[field] > 0 && positive[field] <= 1e8) {
+			bad(field, "%v is not a number over 0", positive[field])
+		}
+	}
+	ranges := map[string]Range{"network.within_ms": s.Network.WithinMS, "network.across_ms": s.Network.AcrossMS, "counter.ms": s.Counter.MS,
+		"discovery.late": s.Discovery.Late, "clients.wait": s.Clients.Wait, "clients.give_up": s.Clients.GiveUp, "firms.use": s.Firms.Use,
+		"firms.heavy_x": s.Firms.HeavyX, "firms.spread": s.Firms.Spread, "firms.shift": s.Firms.ShiftS}
+	for _, field := range sorted(ranges) {
+		if r := ranges[field]; !(r[0] >= 0 && r[1] >= r[0] && r[1] <= 1e8) {
+			bad(field, "%v is not a range of two numbers from 0", r)
+		}
+	}
+	if len(s.Tiers) == 0 || len(s.Tiers) != len(s.Shares) {
+		bad("shares", "one is needed for each tier")
+	}
+	if len(s.Classes) == 0 {
+		bad("classes", "one is needed at least")
+	}
+	for k, c := range s.Classes {
+		if !(c.Deadline > 0 && c.Aim > 0 && c.Aim <= c.Deadline && c.Share >= 0 && c.WorkMS[0] > 0) {
+			bad(fmt.Sprintf("classes[%d]", k), "share, work_ms, aim and deadline do not fit")
+		}
+	}
+	for k, f := range s.Faults {
+		if !slices.Contains(faultKinds, f.Kind) {
+			bad(fmt.Sprintf("faults[%d].kind", k), "%q is none of %v", f.Kind, faultKinds)
+		}
+		if f.At < 0 || f.At >= s.Seconds || f.For < 0 {
+			bad(fmt.Sprintf("faults[%d].at", k), "it is not within the run")
+		}
+	}
+	return all
+}
+
+func sorted[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/model/sim.go
@@ -0,0 +1,114 @@
+// Package model is the exchange in virtual time: the limiter's real reducer and module run in it unchanged, one for each
+// modelled limiter, and nodes, halls, the counter, discovery and clients are modelled round them. It is deterministic by
+// seed: one goroutine, one clock, and a random source for each part.
+package model
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// begin is the virtual time at which every run starts: some Unix time, since limiters number their intervals by it.
+const begin = 1_800_000_000 * time.Second
+
+// Sim is the clock and the events to come.
+type Sim struct {
+	now    time.Duration
+	seq    uint64
+	queue  events
+	Events uint64 // handled so far
+}
+
+type event struct {
+	at  time.Duration
+	seq uint64 // of events at one instant the first asked for is the first
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || e[a].at == e[b].at && e[a].seq < e[b].seq
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*e = old[:len(old)-1]
+	return last
+}
+
+// At asks for do at an instant; one that has passed is now.
+func (s *Sim) At(at time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{max(at, s.now), s.seq, do})
+}
+
+// After asks for do after a while.
+func (s *Sim) After(d time.Duration, do func()) { s.At(s.now+max(d, 0), do) }
+
+// Run handles events until an instant.
+func (s *Sim) Run(until time.Duration) {
+	for len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		s.Events++
+		e.do()
+	}
+	s.now = until
+}
+
+// source is a random source of a part's own: what one part draws changes nothing for another.
+func source(seed uint64, part string, n int) *rand.Rand {
+	h := uint64(14695981039346656037)
+	for _, b := range []byte(part) {
+		h = (h ^ uint64(b)) * 1099511628211
+	}
+	return rand.New(rand.NewPCG(seed, h^uint64(n)*0x9e3779b97f4a7c15))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Range is drawn from evenly.
+type Range [2]float64
+
+func (r Range) draw(rng *rand.Rand) float64 { return r[0] + (r[1]-r[0])*rng.Float64() }
+
+// work draws a request's work: gamma by its mean and the square of its coefficient of variation; 0: always the mean.
+func work(rng *rand.Rand, mean, cv2 float64) float64 {
+	if cv2 <= 0 {
+		return mean
+	}
+	if cv2 == 1 {
+		return mean * rng.ExpFloat64()
+	}
+	shape := 1 / cv2
+	return mean / shape * gamma(rng, shape)
+}
+
+// gamma draws by Marsaglia and Tsang's method.
+func gamma(rng *rand.Rand, shape float64) float64 {
+	if shape < 1 {
+		return gamma(rng, shape+1) * math.Pow(rng.Float64(), 1/shape)
+	}
+	d := shape - 1.0/3
+	c := 1 / math.Sqrt(9*d)
+	for {
+		x := rng.NormFloat64()
+		v := 1 + c*x
+		if v <= 0 {
+			continue
+		}
+		v = v * v * v
+		if math.Log(rng.Float64()) < x*x/2+d-d*v+d*math.Log(v) {
+			return d * v
+		}
+	}
+}
