--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/csv"
 	"fmt"
+	"html"
 	"maps"
 	"os"
 	"path/filepath"
@@ -109,3 +110,54 @@
 	p.NominalX(b.Labels...)
 	return p.Save(18*vg.Centimeter, 10*vg.Centimeter, filepath.Join(dir, b.Name+".svg"))
 }
+
+// Page writes one HTML page of a directory's tables and charts. It gives the page's path.
+func Page(dir string) (string, error) {
+	var b strings.Builder
+	b.WriteString("<!doctype html><meta charset=utf-8><title>bramblelab</title><style>body{font:14px sans-serif;margin:2em}td,th{border:1px solid #bbb;padding:2px 8px;text-align:right}table{border-collapse:collapse}</style>\n")
+	charts, err := filepath.Glob(filepath.Join(dir, "*.svg"))
+	if err != nil {
+		return "", err
+	}
+	tables, err := filepath.Glob(filepath.Join(dir, "*.csv"))
+	if err != nil {
+		return "", err
+	}
+	if len(charts)+len(tables) == 0 {
+		return "", fmt.Errorf("%s: neither a table nor a chart", dir)
+	}
+	for _, path := range tables {
+		f, err := os.Open(path)
+		if err != nil {
+			return "", err
+		}
+		rows, err := csv.NewReader(f).ReadAll()
+		_ = f.Close()
+		if err != nil {
+			return "", fmt.Errorf("%s: %w", path, err)
+		}
+		fmt.Fprintf(&b, "<h2>%s</h2><table>\n", html.EscapeString(strings.TrimSuffix(filepath.Base(path), ".csv")))
+		for k, r := range rows {
+			cell := "td"
+			if k == 0 {
+				cell = "th"
+			}
+			b.WriteString("<tr>")
+			for _, x := range r {
+				fmt.Fprintf(&b, "<%s>%s</%s>", cell, html.EscapeString(x), cell)
+			}
+			b.WriteString("</tr>\n")
+		}
+		b.WriteString("</table>\n")
+	}
+	for _, path := range charts {
+		svg, err := os.ReadFile(path)
+		if err != nil {
+			return "", err
+		}
+		_, drawing, _ := strings.Cut(string(svg), "<svg")
+		fmt.Fprintf(&b, "<p><svg%s</p>\n", drawing)
+	}
+	path := filepath.Join(dir, "index.html")
+	return path, os.WriteFile(path, []byte(b.String()), 0o644)
+}
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -104,7 +104,7 @@
 type Fault struct {
 	Kind string  `json:"kind"`
 	At   float64 `json:"at"`
-	For  float64 `json:"for"`
+	For  float64 `json:"lasts"`
 	Part float64 `json:"part"` // share of what it meets
 	Size float64 `json:"size"` // of a flood: times the usual load
 	Hall int     `json:"hall"`
@@ -241,3 +241,13 @@
 	slices.Sort(keys)
 	return keys
 }
+
+// DrawFaults draws one to four faults for a seed.
+func DrawFaults(s Scenario, seed uint64) (list []Fault) {
+	rng := source(seed, "search", 0)
+	for range 1 + rng.IntN(4) {
+		list = append(list, Fault{Kind: faultKinds[rng.IntN(len(faultKinds))], At: s.Seconds * (0.1 + 0.6*rng.Float64()),
+			For: 1 + 14*rng.Float64(), Part: 0.1 + 0.88*rng.Float64(), Size: 0.2 + 3*rng.Float64(), Hall: rng.IntN(s.Halls)})
+	}
+	return list
+}
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -352,3 +352,23 @@
 		}
 	})
 }
+
+// Play plays on to some seconds after the begin and tells what has come until then.
+func (w *World) Play(to float64) Result {
+	w.sim.Run(begin + seconds(to))
+	return w.audit.result()
+}
+
+// NodeView is how a node looks from outside.
+type NodeView struct {
+	Up, Draining bool
+	Busy         float64 // requests in work over cores
+}
+
+// Nodes is how the nodes look now.
+func (w *World) Nodes() (all []NodeView) {
+	for _, n := range w.nodes {
+		all = append(all, NodeView{n.up, n.state == logic.Draining, float64(n.working+len(n.queue)) / float64(w.s.Node.Cores)})
+	}
+	return all
+}
--- /dev/null
+++ b/scenarios/hall-lost.star
@@ -0,0 +1,7 @@
+# A hall is lost with its limiters and the counter, and comes back cold.
+scenario(
+    name = "hall-lost",
+    seconds = 70,
+    faults = [fault(kind = "hall", at = 20, part = 1, hall = 0, lasts = 16)],
+    bounds = bounds(worth = 0.5),
+)
