--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -33,7 +33,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "bramblelab", Short: "Experiments on the limiter", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), watchCommand())
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblelab:", err)
 		os.Exit(1)
@@ -113,6 +113,7 @@
 
 func runCommand() *cobra.Command {
 	o := &common{}
+	onReal := false
 	c := &cobra.Command{Use: "run NAME|FILE", Args: cobra.ExactArgs(1), ValidArgs: lab.Shipped(),
 		Short: "Run a scenario, or an experiment on real processes (plans); exit 0 only where its bounds hold",
 		Long:  "Run a scenario in the model, or an experiment on real processes. Shipped: " + strings.Join(append(lab.Shipped(), "plans"), ", ") + ". The last line is the main figure.",
@@ -129,6 +130,9 @@
 			if err != nil {
 				return err
 			}
+			if onReal {
+				return runReal(c, o, s)
+			}
 			policies, err := o.policies()
 			if err != nil {
 				return err
@@ -156,9 +160,27 @@
 			return verdict(c, broken, fmt.Sprintf("worth served of worth asked inside quotas %.4f", lab.Mean(worth).Mean))
 		}}
 	o.flags(c, true)
+	c.Flags().BoolVar(&onReal, "real", false, "on real limiters and stand-ins, beside the model")
 	return c
 }
 
+// runReal plays a scenario on real limiters and holds the model's result beside it.
+func runReal(c *cobra.Command, o *common, s model.Scenario) error {
+	r, err := lab.OnReal(c.Context(), s, o.seed, func(format string, args ...any) { o.say(c, format, args...) })
+	if err != nil {
+		return err
+	}
+	m := model.New(s, o.seed, model.Own(), false).Run()
+	if err := o.tell(c, lab.Agreement(s, m, r)); err != nil {
+		return err
+	}
+	var broken []string
+	if n := r.Ends[lab.Unanswered]; n > 0 {
+		broken = append(broken, fmt.Sprintf("%d requests without a final answer", n))
+	}
+	return verdict(c, broken, fmt.Sprintf("worth served of worth asked inside quotas %.4f, in the model %.4f", r.Worth, m.Worth()))
+}
+
 func verdict(c *cobra.Command, broken []string, main string) error {
 	for _, b := range broken {
 		fmt.Fprintln(c.OutOrStdout(), "bar broken:", b)
@@ -353,6 +375,14 @@
 	return c
 }
 
+func chartCommand() *cobra.Command {
+	title := ""
+	c := &cobra.Command{Use: "chart FILE.csv COLUMN", Args: cobra.ExactArgs(2), Short: "Draw one column of a table as bars, beside it",
+		RunE: func(c *cobra.Command, args []string) error { return lab.ChartColumn(args[0], args[1], title) }}
+	c.Flags().StringVar(&title, "title", "", "over the chart")
+	return c
+}
+
 func reportCommand() *cobra.Command {
 	return &cobra.Command{Use: "report DIR", Args: cobra.ExactArgs(1), Short: "Put a directory's tables and charts on one HTML page",
 		RunE: func(c *cobra.Command, args []string) error {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -149,7 +149,8 @@
 		"rules": object{"askWithin": 10.0, "startCapacity": 0.24, "cold": 18.0, "fall": 3.0, "fallMultiple": 3.0,
 			"drainGrace": 0.5},
 		"classes": []object{{"name": "balance-read", "semantics": "free", "aim": 1.5, "deadline": 4.0, "worth": 2.0,
-			"lateValue": 0.2, "streamed": false}},
+			"lateValue": 0.2, "streamed": false}, {"name": "transfer-post", "semantics": "guarded", "keyScope": "zone",
+			"keyTtl": 12.0, "aim": 1.5, "deadline": 6.0, "worth": 5.0, "lateValue": 0.0, "streamed": false}},
 		"tariffs": tariffs,
 	}
 }
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -33,11 +33,18 @@
 	Unanswered
 )
 
-// End is what became of one request.
+// Try is a client's.
+type Try struct {
+	Firm, Class int
+	ID          uint64
+	Due         time.Time // when the first try was to be sent: latency counts from there
+	First       uint64    // id of the client's first try
+}
+
+// End is what became of a try.
 type End struct {
+	Try
 	Kind  Kind
-	Firm  int
-	Due   time.Time // when it was to be sent: latency counts from there
 	At    time.Time
 	After time.Duration // of a refusal
 }
@@ -51,14 +58,32 @@
 	First  int
 	Skew   float64 // share of its requests that come through the first of its set
 	Mixed  bool    // half of its requests are gRPC calls
-	rate   func(at time.Duration) float64
+
+	place int // in its set of the limiter that most come through
+}
+
+// Class is a class of requests as clients send it.
+type Class struct {
+	Name     string
+	Share    float64
+	Keyed    bool
+	Deadline time.Duration
+}
+
+// Clients is how they try again.
+type Clients struct {
+	Retries      int
+	Wait, GiveUp [2]float64 // seconds; share of the deadline
+	Honour       float64
 }
 
 // Load sends firms' requests to limiters, open loop: arrivals wait for no answer.
 type Load struct {
 	Firms   []*Firm
-	Waits   time.Duration // how long a client waits
-	Ended   func(End)     // one call at a time
+	Classes []Class
+	Clients Clients
+	Sends   func(Try) // one call at a time, before a request's first try leaves; nil: nobody asks
+	Ended   func(End) // one call at a time
 	Latency *hdrhistogram.Histogram
 
 	limiters []*target
@@ -121,52 +146,86 @@
 }
 
 func (l *Load) firm(ctx context.Context, k int, f *Firm, rng *rand.Rand) {
-	began := time.Now()
-	due := began
+	due := time.Now()
 	for {
-		rate := f.Demand
-		if f.rate != nil {
-			rate = f.rate(due.Sub(began))
-		}
-		if rate <= 0 {
-			rate = 0.2
-		}
+		l.mu.Lock()
+		rate := max(f.Demand, 0.01)
+		l.mu.Unlock()
 		due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(time.Until(due)):
 		}
-		to := f.First
-		if rng.Float64() >= f.Skew {
-			to += 1 + rng.IntN(max(f.Spread-1, 1))
+		class, x := 0, rng.Float64()
+		for class < len(l.Classes)-1 && x >= l.Classes[class].Share {
+			x -= l.Classes[class].Share
+			class++
 		}
-		t := l.limiters[to%len(l.limiters)]
-		call := f.Mixed && rng.Float64() < 0.5
-		l.mu.Lock()
-		l.next++
-		id := l.next
-		l.mu.Unlock()
+		call, seed := f.Mixed && rng.Float64() < 0.5, rng.Uint64()
 		l.wg.Add(1)
 		go func(due time.Time) {
 			defer l.wg.Done()
-			e := End{Firm: k, Due: due}
-			if call {
-				e.Kind, e.After = l.call(t, f)
-			} else {
-				e.Kind, e.After = l.ask(t, f, id)
-			}
-			e.At = time.Now()
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			if e.Kind == Served || e.Kind == Admitted {
-				_ = l.Latency.RecordValue(e.At.Sub(due).Microseconds())
-			}
-			l.Ended(e)
+			l.client(f, Try{Firm: k, Class: class, Due: due}, call, rand.New(rand.NewPCG(seed, 1)))
 		}(due)
 	}
 }
 
+// client sends a request, and tries again as its kind does.
+func (l *Load) client(f *Firm, try Try, call bool, rng *rand.Rand) {
+	c := l.Classes[try.Class]
+	for n := 0; ; n++ {
+		l.mu.Lock()
+		l.next++
+		try.ID = l.next
+		to := f.First + f.place
+		if rng.Float64() >= f.Skew {
+			to = f.First + rng.IntN(max(f.Spread, 1))
+		}
+		if n == 0 {
+			if try.First = try.ID; l.Sends != nil {
+				l.Sends(try)
+			}
+		}
+		l.mu.Unlock()
+		e := End{Try: try}
+		left := time.Until(try.Due.Add(c.Deadline))
+		wait := left
+		if n > 0 && l.Clients.GiveUp[1] > 0 {
+			wait = min(left, time.Duration((l.Clients.GiveUp[0]+(l.Clients.GiveUp[1]-l.Clients.GiveUp[0])*rng.Float64())*float64(c.Deadline)))
+		}
+		t := l.limiters[to%len(l.limiters)]
+		if call {
+			e.Kind, e.After = l.call(t, f, c, wait)
+		} else {
+			e.Kind, e.After = l.ask(t, f, c, try.ID, n > 0, wait)
+		}
+		e.At = time.Now()
+		l.mu.Lock()
+		if e.Kind == Served || e.Kind == Admitted {
+			_ = l.Latency.RecordValue(e.At.Sub(try.Due).Microseconds())
+		}
+		l.Ended(e)
+		l.mu.Unlock()
+		pause := time.Duration((l.Clients.Wait[0] + (l.Clients.Wait[1]-l.Clients.Wait[0])*rng.Float64()) * float64(time.Second))
+		if e.Kind == Refused && e.After > 0 && rng.Float64() < l.Clients.Honour {
+			pause = e.After
+		}
+		again := e.Kind == Refused || (e.Kind == Failed || e.Kind == Cut) && !c.Keyed
+		if !again || n >= l.Clients.Retries || e.At.Add(pause).After(try.Due.Add(c.Deadline)) {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Change changes firms while the load runs.
+func (l *Load) Change(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	do()
+}
+
 func (t *target) take() (*wire, bool) {
 	t.mu.Lock()
 	addr := t.addr
@@ -188,14 +247,24 @@
 }
 
 // ask sends one request over RESP2.
-func (l *Load) ask(t *target, f *Firm, id uint64) (Kind, time.Duration) {
+func (l *Load) ask(t *target, f *Firm, c Class, id uint64, again bool, wait time.Duration) (Kind, time.Duration) {
 	w, ok := t.take()
 	if !ok {
 		return Cut, 0
 	}
-	terms := fmt.Sprintf("c=balance-read,t=%s,d=%d,units=1,spread=%d,first=%d", f.Tier, l.Waits.Milliseconds(), f.Spread, f.First)
-	_ = w.conn.SetDeadline(time.Now().Add(l.Waits + time.Second))
-	if _, err := w.conn.Write(resp.AppendCommand(nil, []byte("Q.ASK"), fmt.Appendf(nil, "%016x", f.ID), fmt.Appendf(nil, "%016x", id), []byte(terms))); err != nil {
+	terms := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=%d,first=%d", c.Name, f.Tier, max(wait.Milliseconds(), 1), f.Spread, f.First)
+	if again {
+		terms += ",r=1"
+	}
+	args := [][]byte{[]byte("Q.ASK"), fmt.Appendf(nil, "%016x", f.ID), fmt.Appendf(nil, "%016x", id), nil}
+	if c.Keyed {
+		terms += fmt.Sprintf(",k=%016x", id)
+		args = append(args, []byte("b"))
+		args[0] = []byte("Q.DO")
+	}
+	args[3] = []byte(terms)
+	_ = w.conn.SetDeadline(time.Now().Add(max(wait, 0) + time.Second))
+	if _, err := w.conn.Write(resp.AppendCommand(nil, args...)); err != nil {
 		_ = w.conn.Close()
 		return Cut, 0
 	}
@@ -234,21 +303,21 @@
 }
 
 // call asks the gRPC front.
-func (l *Load) call(t *target, f *Firm) (Kind, time.Duration) {
+func (l *Load) call(t *target, f *Firm, c Class, wait time.Duration) (Kind, time.Duration) {
 	t.mu.Lock()
 	conn := t.grpc
 	t.mu.Unlock()
 	if conn == nil {
 		return Cut, 0
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), l.Waits)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	entry := func(k, v string) *entriesv3.RateLimitDescriptor_Entry {
 		return &entriesv3.RateLimitDescriptor_Entry{Key: k, Value: v}
 	}
 	answer, err := rlsv3.NewRateLimitServiceClient(conn).ShouldRateLimit(ctx, &rlsv3.RateLimitRequest{Domain: "lab",
 		Descriptors: []*entriesv3.RateLimitDescriptor{{Entries: []*entriesv3.RateLimitDescriptor_Entry{
-			entry("firm", strconv.FormatUint(f.ID, 16)), entry("tier", f.Tier), entry("class", "balance-read"),
+			entry("firm", strconv.FormatUint(f.ID, 16)), entry("tier", f.Tier), entry("class", c.Name),
 			entry("spread", strconv.Itoa(f.Spread)), entry("first", strconv.Itoa(f.First))}}}})
 	switch {
 	case err != nil:
--- a/internal/lab/plans.go
+++ b/internal/lab/plans.go
@@ -184,7 +184,7 @@
 		r.byID[f.ID] = k
 		fleet.Load.Firms = append(fleet.Load.Firms, f)
 	}
-	fleet.Load.Waits = planWait
+	fleet.Load.Classes = []Class{{Name: "balance-read", Share: 1, Deadline: planWait}}
 	fleet.Load.Ended = func(e End) {
 		r.ends[e.Kind]++
 		switch e.Kind {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -161,3 +161,29 @@
 	path := filepath.Join(dir, "index.html")
 	return path, os.WriteFile(path, []byte(b.String()), 0o644)
 }
+
+// ChartColumn draws one column of a table as bars, named by the first.
+func ChartColumn(path, column, title string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	rows, err := csv.NewReader(f).ReadAll()
+	if err != nil || len(rows) < 2 {
+		return fmt.Errorf("%s: no table: %w", path, err)
+	}
+	at := slices.Index(rows[0], column)
+	if at < 0 {
+		return fmt.Errorf("%s: no column %q in %v", path, column, rows[0])
+	}
+	b := Bars{Name: strings.TrimSuffix(filepath.Base(path), ".csv"), Title: title, Y: column}
+	for _, r := range rows[1:] {
+		v, err := strconv.ParseFloat(r[at], 64)
+		if err != nil {
+			return fmt.Errorf("%s: %q is not a number", path, r[at])
+		}
+		b.Labels, b.Values = append(b.Labels, r[0]), append(b.Values, v)
+	}
+	return b.Keep(filepath.Dir(path))
+}
--- a/internal/model/clients.go
+++ b/internal/model/clients.go
@@ -25,18 +25,26 @@
 	truth   *ledger
 }
 
-func (w *World) makeFirms() {
-	rng := source(w.seed, "firms", 0)
-	k := w.s.Firms
+// FirmSpec is a firm as it is drawn for a seed.
+type FirmSpec struct {
+	ID            uint64
+	Tier          int
+	Demand        float64 // requests a second
+	Spread, First int
+}
+
+// DrawFirms draws a scenario's firms for a seed.
+func DrawFirms(s Scenario, seed uint64) (list []FirmSpec) {
+	rng := source(seed, "firms", 0)
+	k := s.Firms
 	for n := range k.Count {
 		tier, x := 0, rng.Float64()
-		for tier < len(w.s.Shares)-1 && x >= w.s.Shares[tier] {
-			x -= w.s.Shares[tier]
+		for tier < len(s.Shares)-1 && x >= s.Shares[tier] {
+			x -= s.Shares[tier]
 			tier++
 		}
-		f := &firm{w: w, id: mix(w.seed+uint64(n)*0x9e3779b97f4a7c15) >> 31, tier: tier, rng: source(w.seed, "firm", n)}
-		f.spread = min(max(1, int(k.Spread.draw(rng)+0.5)), w.s.Limiters)
-		f.first = rng.IntN(w.s.Limiters)
+		f := FirmSpec{ID: mix(seed+uint64(n)*0x9e3779b97f4a7c15) >> 31, Tier: tier,
+			Spread: min(max(1, int(k.Spread.draw(rng)+0.5)), s.Limiters), First: rng.IntN(s.Limiters)}
 		use := k.Use.draw(rng)
 		switch y := rng.Float64(); {
 		case y < k.Heavy:
@@ -44,8 +52,28 @@
 		case y < k.Heavy+k.Full:
 			use = 0.85 + 0.1*rng.Float64()
 		}
-		f.demand = use * w.s.Tiers[tier].Rate
-		f.truth = newLedger(w.s.Tiers[tier])
+		f.Demand = use * s.Tiers[tier].Rate
+		list = append(list, f)
+	}
+	return list
+}
+
+// DrawWork draws the mean work of each class for a seed, in seconds of one core.
+func DrawWork(s Scenario, seed uint64) (means []float64) {
+	draw := source(seed, "classes", 0)
+	for _, c := range s.Classes {
+		means = append(means, c.WorkMS.draw(draw)/1000)
+	}
+	return means
+}
+
+// Work draws a request's work round a mean.
+func (k NodeKind) Work(rng *rand.Rand, mean float64) float64 { return work(rng, mean, k.WorkCV2) }
+
+func (w *World) makeFirms() {
+	for n, spec := range DrawFirms(w.s, w.seed) {
+		f := &firm{w: w, id: spec.ID, tier: spec.Tier, demand: spec.Demand, spread: spec.Spread, first: spec.First,
+			rng: source(w.seed, "firm", n), truth: newLedger(w.s.Tiers[spec.Tier])}
 		w.firms = append(w.firms, f)
 		f.again()
 		f.shift()
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -143,7 +143,7 @@
 func Base() Scenario {
 	return Scenario{
 		Name: "calm", Seconds: 60, Warm: 2, Limiters: 3, Nodes: 10, Halls: 2,
-		Node: NodeKind{Cores: 3, Slots: 6, Queue: 24, WorkCV2: 0.5, Thrash: 0.02, ColdShare: 0.3, ColdSeconds: 15, Cancels: true,
+		Node: NodeKind{Cores: 3, Slots: 6, Queue: 24, WorkCV2: 0.5, Thrash: 0.02, ColdShare: 0.24, ColdSeconds: 18, Cancels: true,
 			Conns: 256, HandshakeMS: 1},
 		Network:   NetworkKind{WithinMS: Range{0.1, 0.3}, AcrossMS: Range{0.42, 0.78}, JitterMS: 0.05},
 		Counter:   CounterKind{PerSecond: 660, Parts: 1, MS: Range{0.54, 1.4}, Waiting: 64, TimeoutMS: 30},
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -47,9 +47,8 @@
 		hallDown: make([]bool, s.Halls)}
 	w.sim.now = begin
 	w.audit = newAudit(w)
-	draw := source(seed, "classes", 0)
-	for _, c := range s.Classes {
-		w.classes = append(w.classes, class{c, c.WorkMS.draw(draw) / 1000})
+	for k, mean := range DrawWork(s, seed) {
+		w.classes = append(w.classes, class{s.Classes[k], mean})
 	}
 	for k := range s.Nodes {
 		w.addNode(k % s.Halls)
--- a/internal/standin/counter.go
+++ b/internal/standin/counter.go
@@ -84,3 +84,16 @@
 	defer c.mu.Unlock()
 	clear(c.names)
 }
+
+// Flush forgets a part of the names.
+func (c *Counter) Flush(part float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := int(part * float64(len(c.names)))
+	for name := range c.names { // in a map's own order: by chance
+		if left--; left < 0 {
+			return
+		}
+		delete(c.names, name)
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -49,11 +49,19 @@
 	return d.list()
 }
 
+// name is the id of the machine that now has the node's place.
+func (n *Node) name() string {
+	if n.Renewed == 0 {
+		return n.ID
+	}
+	return fmt.Sprintf("%s-%d", n.ID, n.Renewed)
+}
+
 func (d *Discovery) list() map[string]any {
 	servers := []map[string]any{}
 	for _, n := range d.world.Nodes {
-		servers = append(servers, map[string]any{"id": n.ID, "addr": n.Addr, "zone": n.Hall, "kind": "std-3core",
-			"cell": 0, "state": n.State.Load(), "weight": 1.0, "started_ms": 0})
+		servers = append(servers, map[string]any{"id": n.name(), "addr": n.Addr, "zone": n.Hall, "kind": "std-3core",
+			"cell": 0, "state": n.State.Load(), "weight": 1.0, "started_ms": n.Started})
 	}
 	return map[string]any{"version": d.version, "full": true, "servers": servers}
 }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -15,6 +15,8 @@
 type Node struct {
 	ID, Hall, Addr string
 	State          atomic.Value // string: as discovery tells it
+	Renewed        int          // how often another machine took its place; under discovery's lock, as Started
+	Started        int64        // Unix milliseconds; 0: long ago
 
 	world *World
 	made  atomic.Int64
@@ -112,3 +114,13 @@
 	b := resp.AppendBulk([]byte("*3\r\n"), []byte(text))
 	return append(b, "$-1\r\n$-1\r\n"...)
 }
+
+// Renew puts a new machine in a node's place: another id, started now, at the same address.
+func (w *World) Renew(n *Node, at time.Time) {
+	w.Discovery.mu.Lock()
+	n.Renewed++
+	n.Started = at.UnixMilli()
+	n.State.Store("ready")
+	w.Discovery.mu.Unlock()
+	w.Discovery.Changed()
+}
