--- a/logic/state.go
+++ b/logic/state.go
@@ -110,6 +110,7 @@
 	book               Book     // nil: the settings' plans stay
 	reserves           Reserves // nil: there are none
 	figured            int      // changes of plans so far
+	replanned          bool     // since the last tick: not all firms have taken up the last one
 	rng                uint64
 	now                time.Duration
 	probes             bool
