--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -48,6 +48,7 @@
 	quick  bool
 	out    string
 	policy []string
+	binary string
 	began  time.Time
 }
 
@@ -173,13 +174,14 @@
 		}}
 	o.flags(c, true)
 	c.Flags().StringVar(&profile, "profile", "", "a file for the processor profile of the run")
+	c.Flags().StringVar(&o.binary, "binary", "", "with --real: the limiter's program, such as an older build; by default it is built from here")
 	c.Flags().BoolVar(&onReal, "real", false, "on real limiters and stand-ins, beside the model")
 	return c
 }
 
 // runReal plays a scenario on real limiters and holds the model's result beside it.
 func runReal(c *cobra.Command, o *common, s model.Scenario) error {
-	r, err := lab.OnReal(c.Context(), s, o.seed, func(format string, args ...any) { o.say(c, format, args...) })
+	r, err := lab.OnReal(c.Context(), s, o.seed, o.binary, func(format string, args ...any) { o.say(c, format, args...) })
 	if err != nil {
 		return err
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -25,6 +25,7 @@
 	Load     *Load
 	dir      string
 	binary   string
+	plain    bool // without an operators' file
 	tiers    []logic.Plan
 	gone     []time.Duration // CPU of processes that have ended
 }
@@ -40,8 +41,8 @@
 }
 
 // NewFleet starts so many limiters, with nodes that answer after a moment, a counter and discovery.
-func NewFleet(binary, dir string, limiters, nodes int, tiers []logic.Plan, handle func(*standin.Node, [][]byte) ([]byte, bool, time.Duration)) (*Fleet, error) {
-	f := &Fleet{World: standin.NewWorld(fault.Plan{}), Load: NewLoad(limiters), dir: dir, binary: binary, tiers: tiers,
+func NewFleet(binary, dir string, plain bool, limiters, nodes int, tiers []logic.Plan, handle func(*standin.Node, [][]byte) ([]byte, bool, time.Duration)) (*Fleet, error) {
+	f := &Fleet{World: standin.NewWorld(fault.Plan{}), Load: NewLoad(limiters), dir: dir, binary: binary, plain: plain, tiers: tiers,
 		Limiters: make([]*standin.Limiter, limiters), gone: make([]time.Duration, limiters)}
 	for k := range nodes {
 		n, err := f.World.AddNode(fmt.Sprintf("s-%d", k), []string{"hall-a", "hall-b"}[k%2])
@@ -74,14 +75,18 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
+	var args []string
 	file := filepath.Join(dir, "operator.star")
 	script := `bramblefall(ratelimit = ratelimit(listen = "127.0.0.1:0"), admin = admin(socket = "admin.sock"), limits = limits(late = 10))` + "\n"
-	if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
-		return err
+	if !f.plain {
+		if err := os.WriteFile(file, []byte(script), 0o600); err != nil {
+			return err
+		}
+		args = []string{"-operator", file}
 	}
 	l, err := standin.Start(f.binary, dir, object{"name": "n" + strconv.Itoa(k), "listen": "127.0.0.1:0", "seed": fmt.Sprintf("%x", 4711+k),
 		"limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": Settings(len(f.Limiters), k, f.tiers),
-		"known": f.World.Discovery.List(), "counter": f.World.Counter.Addr, "discovery": f.World.Discovery.Addr}, "-operator", file)
+		"known": f.World.Discovery.List(), "counter": f.World.Counter.Addr, "discovery": f.World.Discovery.Addr}, args...)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/plans.go
+++ b/internal/lab/plans.go
@@ -166,7 +166,7 @@
 func newPlansRun(o Options, binary, dir string, firms int) (*plansRun, error) {
 	r := &plansRun{Options: o, rng: rand.New(rand.NewPCG(o.Seed, 8)), byID: map[uint64]int{}, truth: NewTruth(firms + 1)}
 	tiers := planTiers(1)
-	fleet, err := NewFleet(binary, dir, planLimiters, 6, tiers, func(n *standin.Node, args [][]byte) ([]byte, bool, time.Duration) {
+	fleet, err := NewFleet(binary, dir, false, planLimiters, 6, tiers, func(n *standin.Node, args [][]byte) ([]byte, bool, time.Duration) {
 		id, _ := strconv.ParseUint(string(args[1]), 16, 64)
 		if k, ok := r.byID[id]; ok {
 			r.truth.Sent(k, string(args[2]))
@@ -299,7 +299,7 @@
 	return sum, err
 }
 
-// change gives out versions, up and down. Every third reaches one limiter late.
+// change gives out versions, up and down. Every third reaches one limiter late, and every fourth one limiter never.
 func (r *plansRun) change(ctx context.Context, began time.Time, length time.Duration) (list []change, err error) {
 	scales := []float64{0.5, 1.6, 0.7, 1.2, 0.4, 2, 1}
 	every := changeEvery(r.Quick)
@@ -312,19 +312,23 @@
 		if n%3 == 2 {
 			late = r.rng.IntN(planLimiters)
 		}
+		never := -1
+		if n%4 == 3 {
+			never = r.rng.IntN(planLimiters)
+		}
 		tell := func(ctx context.Context, k int, client adminpb.AdminClient) error {
 			c.told[k] = time.Now()
 			_, err := client.ApplyPlans(ctx, &adminpb.ApplyPlansRequest{Version: admin.VersionOut(c.version)})
 			return err
 		}
 		for k := range planLimiters {
-			if k != late {
+			if k != late && k != never {
 				if err := r.admin(k, tell); err != nil {
 					return list, fmt.Errorf("version %d at limiter %d: %w", n+1, k, err)
 				}
 			}
 		}
-		if late >= 0 {
+		if late >= 0 && late != never {
 			delay := min(3*time.Second, every/2)
 			time.Sleep(time.Until(at.Add(delay)))
 			if err := r.admin(late, tell); err != nil {
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -89,17 +89,19 @@
 	worth  float64
 }
 
-// OnReal plays a scenario against real limiters, at its own size, in real time.
-func OnReal(ctx context.Context, s model.Scenario, seed uint64, say func(string, ...any)) (Real, error) {
+// OnReal plays a scenario against real limiters, at its own size, in real time. binary is the limiter's program; "": the
+// one that is built from here.
+func OnReal(ctx context.Context, s model.Scenario, seed uint64, binary string, say func(string, ...any)) (Real, error) {
 	dir, err := os.MkdirTemp("", "bramblelab")
 	if err != nil {
 		return Real{}, err
 	}
 	defer os.RemoveAll(dir)
-	say("building the limiter")
-	binary, err := Build(ctx, dir)
-	if err != nil {
-		return Real{}, err
+	if binary == "" {
+		say("building the limiter")
+		if binary, err = Build(ctx, dir); err != nil {
+			return Real{}, err
+		}
 	}
 	r := &realRun{s: s, seed: seed, nodes: map[string]*realNode{}, means: model.DrawWork(s, seed), byID: map[uint64]int{},
 		specs: model.DrawFirms(s, seed), inside: map[uint64]bool{}, tries: make([]int, len(s.Tiers)), refuse: make([]int, len(s.Tiers))}
@@ -107,7 +109,7 @@
 	for k := range s.Nodes {
 		r.nodes[fmt.Sprintf("s-%d", k)] = &realNode{kind: s.Node, rng: rand.New(rand.NewPCG(seed, uint64(k)))}
 	}
-	if r.fleet, err = NewFleet(binary, dir, s.Limiters, s.Nodes, s.Tiers, r.handle); err != nil {
+	if r.fleet, err = NewFleet(binary, dir, true, s.Limiters, s.Nodes, s.Tiers, r.handle); err != nil {
 		return Real{}, err
 	}
 	defer r.fleet.Close()
@@ -308,6 +310,7 @@
 	row("failed", float64(m.Failed), float64(r.Ends[Failed]))
 	row("cut off", float64(m.Lost), float64(r.Ends[Cut]))
 	row("beyond quotas, points", 100*m.OverQuota(), 100*r.OverQuota)
+	t.Add("CPU us each", "-", r.CPU, "-")
 	row("median latency, s", m.Median, r.Median)
 	row("99th percentile, s", m.P99, r.P99)
 	return t
--- a/internal/standin/limiter.go
+++ b/internal/standin/limiter.go
@@ -129,20 +129,16 @@
 }
 
 // CPU is the processor time that it has used, user and system.
-func (l *Limiter) CPU() time.Duration {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", l.Cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(raw), ") ")
-	fields := strings.Fields(rest)
-	if len(fields) < 13 {
-		return 0
-	}
-	var ticks int64
-	for _, f := range fields[11:13] {
-		n, _ := strconv.ParseInt(f, 10, 64)
-		ticks += n
+func (l *Limiter) CPU() (sum time.Duration) {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", l.Cmd.Process.Pid))
+	for _, path := range threads {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			continue // it has just ended
+		}
+		first, _, _ := strings.Cut(string(raw), " ")
+		n, _ := strconv.ParseInt(first, 10, 64)
+		sum += time.Duration(n)
 	}
-	return time.Duration(ticks) * 10 * time.Millisecond
+	return sum
 }
