--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -264,6 +264,27 @@
 				}
 			}()
 		}
+	case model.FaultHall: // processes die; silence cannot be had on loopback
+		var lost []*standin.Node
+		for k, n := range r.fleet.World.Nodes {
+			if k%r.s.Halls == f.Hall%r.s.Halls {
+				lost = append(lost, n)
+				n.Die()
+				r.fleet.World.Tell(n, "gone", time.Time{})
+			}
+		}
+		if pause(f.For) {
+			for _, n := range lost {
+				if err := n.Rise(); err != nil {
+					return
+				}
+				x := r.nodes[n.ID]
+				x.mu.Lock()
+				x.since = time.Now()
+				x.mu.Unlock()
+				r.fleet.World.Tell(n, "ready", time.Now())
+			}
+		}
 	case model.FaultLimiters:
 		for _, k := range rng.Perm(r.s.Limiters)[:max(1, int(f.Part*float64(r.s.Limiters)+0.5))] {
 			r.fleet.Kill(k)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -60,6 +60,9 @@
 func (d *Discovery) list() map[string]any {
 	servers := []map[string]any{}
 	for _, n := range d.world.Nodes {
+		if n.State.Load() == "gone" {
+			continue
+		}
 		servers = append(servers, map[string]any{"id": n.name(), "addr": n.Addr, "zone": n.Hall, "kind": "std-3core",
 			"cell": 0, "state": n.State.Load(), "weight": 1.0, "started_ms": n.Started})
 	}
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +22,9 @@
 
 	world *World
 	made  atomic.Int64
+	mu    sync.Mutex
+	port  net.Listener
+	conns map[*fault.Conn]struct{}
 	// Handle chooses the answer to a command, after a delay; nil: a mix of values, errors and refusals by the
 	// connection's script. mayRun tells the auditor whether the command runs.
 	Handle func(n *Node, args [][]byte) (answer []byte, mayRun bool, delay time.Duration)
@@ -27,12 +32,39 @@
 
 // AddNode starts a node in a hall.
 func (w *World) AddNode(id, hall string) (*Node, error) {
-	n := &Node{ID: id, Hall: hall, world: w}
+	n := &Node{ID: id, Hall: hall, world: w, conns: map[*fault.Conn]struct{}{}}
 	n.State.Store("ready")
 	var err error
-	n.Addr, err = w.listen(fault.Node, n.serve)
+	if n.port, err = w.listenAt("127.0.0.1:0", fault.Node, n.serve); err != nil {
+		return nil, err
+	}
+	n.Addr = n.port.Addr().String()
 	w.Nodes = append(w.Nodes, n)
-	return n, err
+	return n, nil
+}
+
+// Die ends the node's process: its connections are reset and new ones refused.
+func (n *Node) Die() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.port.Close()
+	for c := range n.conns {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+// Rise starts it again at its address.
+func (n *Node) Rise() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, err := n.world.listenAt(n.Addr, fault.Node, n.serve)
+	if err == nil {
+		n.port = l
+	}
+	return err
 }
 
 const (
@@ -41,6 +73,14 @@
 )
 
 func (n *Node) serve(conn *fault.Conn, s fault.Script) {
+	n.mu.Lock()
+	n.conns[conn] = struct{}{}
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.conns, conn)
+	}()
 	rng := rand.New(rand.NewPCG(s.Seed, 2))
 	var p resp.Parser
 	buf := make([]byte, 32<<10)
@@ -115,6 +155,17 @@
 	return append(b, "$-1\r\n$-1\r\n"...)
 }
 
+// Tell sets a node's state and start as discovery tells them.
+func (w *World) Tell(n *Node, state string, started time.Time) {
+	w.Discovery.mu.Lock()
+	n.State.Store(state)
+	if !started.IsZero() {
+		n.Started = started.UnixMilli()
+	}
+	w.Discovery.mu.Unlock()
+	w.Discovery.Changed()
+}
+
 // Renew puts a new machine in a node's place: another id, started now, at the same address.
 func (w *World) Renew(n *Node, at time.Time) {
 	w.Discovery.mu.Lock()
