A second copy in the fault scripts comes in one piece with the first, whatever else they say

Cause: a script with a stall behind the message wrote its second copy 120 ms after the first, which no limiter can tell from the next answer.

--- a/internal/fault/conn.go
+++ b/internal/fault/conn.go
@@ -65,6 +65,12 @@
 	twice, n, at := c.Twice() && len(message) <= mostTwice, c.messages, 0
 	c.messages++
 	trickle, broken := false, c.Noisy()
+	if twice { // both copies in one write, whatever else the script has for this message: none comes late
+		if _, err = c.Conn.Write(append(slices.Clone(message), message...)); err == nil && !broken {
+			times = 2
+		}
+		return times, err
+	}
 	for _, s := range c.writing {
 		if s.When != Writing || s.Message != n || s.Do == Twice || s.At < at {
 			continue
@@ -85,9 +91,6 @@
 		}
 	}
 	rest := message[at:]
-	if twice {
-		rest = append(slices.Clone(rest), message...)
-	}
 	for trickle && len(rest) > 1 && len(rest) < 2*mostAt {
 		if _, err = c.Conn.Write(rest[:1]); err != nil {
 			return times, err
@@ -98,10 +101,7 @@
 	if _, err = c.Conn.Write(rest); err != nil || broken {
 		return times, err
 	}
-	if times = 1; twice {
-		times = 2
-	}
-	return times, nil
+	return 1, nil
 }
 
 // Rest takes the steps that are due when a message has been answered and the connection is idle.
--- a/internal/fault/fault_test.go
+++ b/internal/fault/fault_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// A second copy never comes late, whatever else a script has for its message: it could not be told from the next answer.
+func TestASecondCopyComesInOnePieceWithTheFirst(t *testing.T) {
+	for act := range acts {
+		a, b := pair(t)
+		c, err := Follow(a, Script{Steps: []Step{{When: Writing, At: 500, Do: act, For: 300}, {When: Writing, Do: Twice}}})
+		require.NoError(t, err)
+		times, err := c.Send([]byte("ok 1\r\n"))
+		require.NoError(t, err)
+		require.Equal(t, 2, times, act)
+		buf := make([]byte, 100)
+		n, err := b.Read(buf)
+		require.NoError(t, err)
+		require.Equal(t, "ok 1\r\nok 1\r\n", string(buf[:n]), act)
+	}
+}
+
 // Reading stops at the offset, and the act comes there.
 func TestActAtAnOffsetOfWhatIsRead(t *testing.T) {
 	for at := 1; at < 6; at++ {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -108,6 +108,10 @@
 	bars.Color = plotutil.Color(0)
 	p.Add(bars)
 	p.NominalX(b.Labels...)
+	if len(b.Labels) > 5 { // or they run into each other
+		p.X.Tick.Label.Rotation = 0.5
+		p.X.Tick.Label.XAlign = -1
+	}
 	return p.Save(18*vg.Centimeter, 10*vg.Centimeter, filepath.Join(dir, b.Name+".svg"))
 }
 
