--- a/cmd/bramblefall/fault_test.go
+++ b/cmd/bramblefall/fault_test.go
@@ -98,8 +98,7 @@
 		if broke != "" {
 			fails := func(smaller fault.Plan) bool { _, again := playFaults(t, binary, smaller); return again != "" }
 			p = fault.Shrink(p, 30, fails)
-			require.Fail(t, "seed "+strconv.FormatUint(seed, 10), "%s\nsmallest plan found: %d scripts\n%.4000s", broke,
-				len(p.Scripts), p.Scripts)
+			t.Fatalf("seed %d: %.4000s\nsmallest plan found, %d scripts: %.4000s", seed, broke, len(p.Scripts), fmt.Sprint(p.Scripts))
 		}
 		require.Positive(t, tally.Served)
 		left -= tally.Connections
