One of many limiters keeps to ten servers of its own, and probes by their price

Ruled out: reuse failing in the pool (0 closed as idle, 0 written to those): a server was simply not met again within the 11 s that a connection may stand. Cause: choose() drew its candidates from the whole list; everyTick's probes went by requests alone, whatever they cost. Change: rendezvous hashing gives each limiter an order of its own; it draws from its ten nearest and goes further only if none of these may take the request. The settings' price of a probe bounds how many are made.

--- /dev/null
+++ b/cmd/bramblefall/elf_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"debug/elf"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The days at size lead the limiter's sockets and clocks through a library loaded into the process: that works only
+// if the file that `build` leaves asks for the C library's loader.
+func TestTheBuildLinksTheCLibraryDynamically(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	text, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
+	require.NoError(t, err)
+	build := regexp.MustCompile(`(?m)^build = "([^"]*)"`).FindSubmatch(text)
+	require.NotNil(t, build, "the build line cannot be read")
+	run := regexp.MustCompile(`(?m)^run = "exec (\S+)"`).FindSubmatch(text)
+	require.NotNil(t, run, "run must end by exec in one program")
+
+	file := filepath.Join(t.TempDir(), filepath.Base(string(run[1])))
+	command := strings.NewReplacer("mkdir -p bin && ", "", "-o bin/ ./cmd/...", "-o "+file+" ./cmd/"+filepath.Base(file))
+	shell(t, root, command.Replace(string(build[1])))
+
+	built, err := elf.Open(file)
+	require.NoError(t, err)
+	defer built.Close()
+	interpreter := built.Section(".interp")
+	require.NotNil(t, interpreter, "no interpreter: linked statically")
+	loader, err := interpreter.Data()
+	require.NoError(t, err)
+	require.Contains(t, string(loader), "ld-linux")
+	needed, err := built.ImportedLibraries()
+	require.NoError(t, err)
+	require.Contains(t, needed, "libc.so.6")
+}
+
+func shell(t *testing.T, dir, command string) {
+	c := exec.Command("sh", "-c", command)
+	c.Dir = dir
+	out, err := c.CombinedOutput()
+	require.NoError(t, err, "%s: %s", command, out)
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -60,8 +61,8 @@
 	roomy                 = 1.5                          // latency over idle latency with room to spare
 	coldMargin            = 0.8                          // of a warm server's load, by capacity
 	ownView               = 4.0                          // gateways up to which a gateway's own view is enough
-	mostProbes            = 0.25                         // for each request: they cost the servers work
-	candidates            = 3                            // servers drawn at random where many gateways choose
+	mostProbes, probeFee  = 0.25, 0.0025                 // for each request: servers' work; the price of all
+	nearest, candidates   = 10, 3                        // servers that one of many keeps to; drawn of these
 	reportStep            = 0.3                          // weight of the newest report
 	reportStale           = time.Second                  // in which a report loses most of its weight
 	logEvery              = 5 * time.Second              // between two log lines of the same kind
@@ -151,7 +152,7 @@
 	g.requests[q.ID], g.tokens[r.token] = r, r
 	g.do(SetTimer{r.token, r.deadline - g.now}) // every accepted request owns a timer before its deadline
 	g.callsLeft = min(g.callsLeft+mostCalls, callsSaved)
-	g.probesLeft = min(g.probesLeft+mostProbes, 2)
+	g.probesLeft = min(g.probesLeft+min(mostProbes, probeFee/max(g.set.ProbeFee, probeFee)), 2)
 	g.units += 0.02 * (q.Units - g.units)
 	r.cust = g.customer(r)
 	r.cust.asked, r.cust.best = r.cust.asked+r.demand(g), max(r.cust.best, r.class.Worth)
@@ -732,6 +733,8 @@
 			delete(g.servers, id)
 		}
 	}
+	f.near = slices.Clone(f.list)
+	slices.SortFunc(f.near, func(a, b *server) int { return cmp.Compare(g.distance(a), g.distance(b)) })
 	g.dispatch()
 }
 
@@ -967,10 +970,18 @@
 // choose finds the server with the least work for its speed, or nil if none may take the request. Many
 // gateways look at a few drawn at random first: all would find the same one best.
 func (g *Gateway) choose(r *request) (best *server) {
-	if n := len(r.fleet.list); g.blind > 0 && n > candidates {
-		few := make([]*server, candidates)
-		for k := range few {
-			few[k] = r.fleet.list[int(g.random()*float64(n))]
+	if f := r.fleet; g.blind > 0 && len(f.list) > candidates {
+		near := make([]*server, 0, nearest)
+		for _, s := range f.near {
+			if s.State == Ready && !s.ejected {
+				if near = append(near, s); len(near) == nearest {
+					break
+				}
+			}
+		}
+		few := make([]*server, 0, candidates)
+		for len(near) > 0 && len(few) < candidates {
+			few = append(few, near[int(g.random()*float64(len(near)))])
 		}
 		best = g.best(r, few)
 	}
--- a/logic/many_test.go
+++ b/logic/many_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -325,3 +326,59 @@
 		}
 	}
 }
+
+// Many gateways that each send everywhere hold a connection each to every server, used once in a long while: servers
+// run out of them and pay for the handshakes. Each keeps to a few, and all together still reach all evenly.
+func TestAGatewayOfManyKeepsToFewServers(t *testing.T) {
+	set := testSettings()
+	set.Gateways = 80
+	all := map[ServerID]int{}
+	for rank := range set.Gateways {
+		set.Rank = rank
+		b := newBench(t, set, ready(60)...)
+		own := map[ServerID]int{}
+		for n := range 60 {
+			b.arrive(Request{Customer: uint64(n + 1), Units: 0.01})
+			b.run(100*ms, func() { b.answer(20 * ms) })
+			for _, s := range b.sent {
+				own[s]++
+				all[s]++
+			}
+			b.sent = b.sent[:0]
+		}
+		if len(own) > nearest {
+			t.Fatalf("gateway %d used %d of 60 servers", rank, len(own))
+		}
+	}
+	for s := range ServerID(60) {
+		if n := all[s+1]; n < 20 || n > 200 {
+			t.Errorf("server %d got %d of %d", s+1, n, 80*60)
+		}
+	}
+}
+
+// A gateway's own servers stay its own while others come and go: or each change would cost all gateways handshakes.
+func TestOwnServersStayWhenOthersGo(t *testing.T) {
+	b := many(t, false)
+	before := slices.Clone(b.g.near[:nearest])
+	gone := b.g.near[nearest+3].Server
+	gone.State = Gone
+	b.list(ServerList{Servers: []Server{gone}})
+	if !slices.Equal(before, b.g.near[:nearest]) || len(b.g.near) != 29 {
+		t.Error("the order of those that stay has changed")
+	}
+}
+
+// Probes keep to what their price allows, however many requests there are.
+func TestProbesGoByTheirPrice(t *testing.T) {
+	set := testSettings()
+	set.Gateways, set.ProbeFee = 200, 0.08
+	b := newBench(t, set, ready(30)...)
+	for range 200 {
+		b.arrive(Request{Customer: 1, Units: 0.01})
+		b.run(50*ms, func() { b.answer(20 * ms) })
+	}
+	if n := len(b.probes); n == 0 || n > 10 {
+		t.Errorf("%d probes for 200 requests at 0.08 each", n)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -94,7 +94,7 @@
 // fleet is what is known of the servers of one upstream group together. What one group does says nothing of
 // another: its answers may take a hundredth of the time.
 type fleet struct {
-	list            []*server
+	list, near      []*server // near: in the order of this gateway's own
 	limit, retries  float64
 	latency, base   float64       // fleet-wide, smoothed; base: when idle
 	strain          float64       // smoothed latency over aim
@@ -173,6 +173,10 @@
 	return z ^ z>>31
 }
 
+// distance ranks servers by rendezvous hashing: each gateway has an order of its own, which others' coming and going
+// leaves as it is.
+func (g *Gateway) distance(s *server) uint64 { return mix(uint64(s.ID) ^ mix(uint64(g.set.Rank))) }
+
 func without(list []*request, r *request) []*request {
 	for k, x := range list {
 		if x == r {
