Any failure leaves a server out among many limiters; ceilinged plans draw tickets

In releases a third of the tries never ran and still used up retries (20 to 5) and room. Cause: judge() added a fifth for each failure; figure() called such plans sparse; ended() charged every retry alike; stress() knew one depth; pass() held associate firms to a sixtieth of their burst where no call could be made, though a few limiters see most of a firm (79% of what was let through was inside the quota). Change: one failure is enough among many, and a trial comes five times later; ceilinged plans draw tickets at any spread; a try that never ran costs a fifth of a retry and no room; deep cuts where answers are far too slow; the part without a call is a sixth.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -39,7 +39,7 @@
 	turnTime              = 600 * ms           // of turns at a cap: shorter than an aim
 	drawSpan, mostDraws   = 2 * time.Second, 3 // so long a lost slot is missing; draws for one request
 	busy                  = 0.8                // load from which draws are thinned
-	thinned               = 0.4                // of a quota, passed with no count to ask: words are late
+	thinned, busiest      = 0.8, 6.0           // of a quota, passed with no count to ask; gateways of one firm
 	wordLasts             = 8 * time.Second    // that a customer is busy
 	ticketed, mostTickets = 4.0, 3.0           // units of a part too coarse for sums; drawn at once
 	callsStored, dearest  = 8.0, 3.0           // calls saved by one of many; kept for the dearest plan
@@ -50,8 +50,10 @@
 	healthStep, sick      = 0.2, 0.35                    // newest outcome in failures; more ejects
 	firstEject, lastEject = time.Second, 8 * time.Second // doubled with each failed trial
 	silentWork            = 7.0                          // mean latencies unanswered before a server looks hung
+	rareTrials            = 4.0                          // times longer, where each of many tries it
 	leastSilent           = 100 * ms                     // of such a latency: a quick server may pause, too
 	retryEarn, retryMost  = 0.2, 20.0                    // retries earned by each first attempt, and saved
+	unrun                 = 0.2                          // of a retry, where nothing has run
 	limitStart, limitMost = 12.0, 64.0                   // attempts out at a server: by all at first, by one
 	calm, strained        = 0.3, 0.4                     // share of the aim where the bound grows, and falls
 	slowAnswers           = 2.0                          // times the idle latency: then time-outs show load, too
@@ -78,21 +80,17 @@
 	for _, c := range s.Classes {
 		aim = min(aim, c.Aim)
 	}
-	dear := 1e-9
-	for _, p := range s.Plans {
-		dear = max(dear, p.Price)
-	}
 	guess := max(float64(aim), 1) / 6 // work is a small part of what clients wait for
 	blind := max(0, 1-ownView/float64(s.Gateways))
 	g := &Gateway{set: s, blind: blind, rng: seed,
 		requests: map[uint64]*request{}, tokens: map[uint32]*request{},
 		customers: map[uint64]*customer{}, servers: map[ServerID]*server{}, calls: map[uint64][]call{}, units: 1,
 		loads: map[uint64]word{}, logged: map[string]time.Duration{},
-		guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, leastCalls: 1, dearest: dear, calling: 1,
-		backoff: 500 * ms,
+		guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, calling: 1 / (1 + 2*blind),
+		dearest: priceOf(s.Plans), backoff: 500 * ms,
 		longest: make([]time.Duration, len(s.Classes))}
 	if g.fleet = g.group(0); blind > 0 { // what one of few may do is too much for a counter that many call
-		g.callsLeft, g.callsSaved, g.leastCalls, g.calling = callsStored/2, callsStored, leastCalling, 1/(1+2*blind)
+		g.callsLeft, g.callsSaved = callsStored/2, callsStored
 	}
 	return g
 }
@@ -150,7 +148,7 @@
 	r.token = g.nextToken
 	g.requests[q.ID], g.tokens[r.token] = r, r
 	g.do(SetTimer{r.token, r.deadline - g.now}) // every accepted request owns a timer before its deadline
-	g.callsLeft = min(g.callsLeft+mostCalls*g.calling, g.callsSaved)
+	g.callsLeft = min(g.callsLeft+mostCalls*max(g.calling, 1-g.blind), g.callsSaved)
 	g.units += 0.02 * (q.Units - g.units)
 	r.cust = g.customer(r)
 	r.cust.asked, r.cust.best = r.cust.asked+r.demand(g), max(r.cust.best, r.class.Worth)
@@ -213,7 +211,9 @@
 	case o.Status == Moot || !g.mayRetry(r):
 		g.finish(r, 0)
 	default:
-		r.fleet.retries--
+		if r.fleet.retries--; neverRan && g.blind > 0 { // it cost the servers next to nothing
+			r.fleet.retries, r.fleet.room = r.fleet.retries+1-unrun, r.fleet.room+1
+		}
 		r.ready = true
 		g.queue = append([]*request{r}, g.queue...)
 	}
@@ -239,7 +239,7 @@
 		c.n = float64(min(max(r.Spread, 1), g.set.Gateways))
 		c.place = float64(((g.set.Rank-r.First)%g.set.Gateways + g.set.Gateways) % g.set.Gateways)
 		g.figure(c, p)
-		c.level = p.Burst / c.n
+		c.level = c.store()
 		// A fresh gateway may be a restarted one: its store of the ceiling has only its part of the slack.
 		c.ceiling = 0.9 * p.CeilingSlack / c.n
 		g.customers[r.Customer] = c
@@ -253,10 +253,14 @@
 // figure sets what follows from a plan's figures: the interval, whether the part is drawn, and the even part.
 func (g *Gateway) figure(c *customer, p Plan) {
 	c.plan, c.print = p, fingerprint(p)
-	c.span, c.sparse, c.ticketed = minSpan, false, false
+	c.span, c.sparse, c.ticketed, c.parts = minSpan, false, false, c.n
 	if p.Rate > 0 {
 		c.sparse = c.n > ownView && c.store() < g.units
-		c.ticketed = c.n > ownView && !c.sparse && c.store() < ticketed*g.units
+		c.ticketed = c.n > ownView && c.store() < ticketed*g.units && (!c.sparse || p.CeilingRate > 0)
+		c.sparse = c.sparse && !c.ticketed
+		if c.sparse { // most of a firm's requests come through a few: with no call to make, these hold its part
+			c.parts = min(c.n, busiest)
+		}
 		c.span = max(time.Duration(p.Burst/p.Rate*float64(time.Second)), minSpan)
 		if g.blind == 0 {
 			c.span = min(c.span, maxSpan)
@@ -277,6 +281,7 @@
 		}
 		if n := c.interval(g.now); n != c.number {
 			c.roll(int(min(n-c.number, 100)))
+			c.unseen = 0
 			c.number = n
 			g.tell(c)
 		}
@@ -354,7 +359,7 @@
 		// Fewer calls to a counter in trouble, none for a while to a silent or full one; no crowd afterwards. A
 		// connection that broke or brought noise says nothing of the counter.
 		if e.Status != Reset {
-			g.calling = max(0.8*g.calling, g.leastCalls)
+			g.calling = max(0.8*g.calling, leastCalling)
 			g.failed++
 		}
 		if g.failed >= silence && e.Status != Reset {
@@ -381,8 +386,8 @@
 		}
 		return
 	}
-	if e.Latency > g.set.CounterLimit { // a crowd: the answer is good, but there are too many calls
-		g.calling = max(0.95*g.calling, g.leastCalls)
+	if g.blind > 0 && e.Latency > g.set.CounterLimit { // a crowd: the answer is good, but there are too many calls
+		g.calling = max(0.95*g.calling, leastCalling)
 	}
 	g.backoff, g.failed, g.calling = 500*ms, 0, min(callsGrow*g.calling, 1)
 	switch what := waiting[0].what; {
@@ -399,8 +404,8 @@
 		}
 	case what == use:
 		most, left := c.most(g), c.ends()-g.now
-		// A short look at an interval's start says little.
-		load := e.Total / most / min(1, max(0.25, 1-left.Seconds()/c.span.Seconds()))
+		// A short look at an interval's start says little: as if the quota's use had been seen for two units, too.
+		load := (e.Total + 2) / (most*(1-left.Seconds()/c.span.Seconds()) + 2)
 		if e.Name == c.name(use) && load >= busy {
 			g.loads[c.id] = word{load, g.now + wordLasts}
 		}
@@ -482,6 +487,7 @@
 	}
 	if ask {
 		r.draws++
+		amount, c.unseen = amount+c.unseen, 0
 		return g.count(c, what, amount, r)
 	}
 	return false
@@ -664,6 +670,9 @@
 		r.drawn = true
 		c.excess = min(c.excess+r.Units, c.store())
 		c.rate += r.Units / c.span.Seconds()
+		if c.sparse {
+			c.unseen += r.Units
+		}
 	}
 	g.through(r)
 	return true
@@ -735,18 +744,14 @@
 			s.listed = false
 		}
 	}
-	first := f.latency
-	if g.blind > 0 { // many are met late: until then the fleet's own latency, as it changes
-		first = 0
-	}
 	for _, e := range l.Servers {
 		s := g.servers[e.ID]
 		if s == nil {
-			s = &server{fleet: f, backoff: firstEject, latency: first}
+			s = &server{fleet: f, backoff: firstEject, latency: g.untried(f)}
 			g.servers[e.ID] = s
 		}
 		if s.Started != e.Started { // a new process: nothing known of the old one holds
-			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, first
+			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, g.untried(f)
 			s.cold, s.coldAt = g.random(), g.now // not all gateways at once
 		}
 		s.Server = e
@@ -787,7 +792,7 @@
 		if s.State == Ready && !s.ejected {
 			f.busy += float64(s.out)
 			f.usable++
-			f.power += g.warmth(s)
+			f.power += max(g.warmth(s), 1-g.blind)
 		}
 		if w := g.warmth(s); w < 1 {
 			rate := f.sendRate * w * coldMargin
@@ -827,7 +832,7 @@
 
 func (g *Gateway) eject(s *server, why string) {
 	s.ejected, s.trial = true, false
-	s.until = g.now + s.backoff
+	s.until = g.now + time.Duration(float64(s.backoff)*(1+rareTrials*g.blind)) // each of many tries it anew
 	s.backoff = min(2*s.backoff, lastEject)
 	g.note("server", fmt.Sprintf("%x left out (%s)", s.ID, why))
 }
@@ -848,7 +853,7 @@
 			s.backoff = firstEject
 		}
 		g.stress(f, lat/float64(r.class.Aim))
-		if f.strain < calm && f.busy+1 > 0.8*f.bound() {
+		if f.strain < calm && (f.busy+1 > 0.8*f.bound() || g.blind > 0 && f.room < 1) {
 			f.limit = min(f.limit*(1+0.005*(1+9*g.blind)), limitMost)
 		}
 	case Cancelled, Moot:
@@ -876,7 +881,8 @@
 		if s.fails += healthStep / 2 * (1 - s.fails); o.Status != Full && o.Status != Spoilt {
 			s.fails += healthStep / 2 * (1 - s.fails)
 		}
-		if o.Status == ConnectFailed {
+		// Of many gateways each meets a server seldom: waiting for more would cost each of them as many requests.
+		if o.Status == ConnectFailed || g.blind > 0 {
 			s.fails = max(s.fails, sick+0.01)
 		}
 		if s.trial || s.fails > sick && !s.ejected {
@@ -891,7 +897,8 @@
 	f.strain += 0.05 * (1 + 3*g.blind) * (share - f.strain)
 	pause := max(cutEvery, time.Duration(g.blind*f.latency)) // a cut shows in the answers only then
 	if f.strain > strained && g.now-f.cut >= pause {
-		f.limit, f.cut = max(f.limit*0.93, 1/float64(g.set.Gateways)), g.now
+		left := max(0.93-0.13*g.blind, min(strained/f.strain, 0.93))
+		f.limit, f.cut = max(f.limit*left, 1/float64(g.set.Gateways)), g.now
 	}
 }
 
@@ -972,7 +979,7 @@
 	if f := r.fleet; g.blind > 0 && len(f.list) > candidates {
 		near := make([]*server, 0, nearest)
 		for _, s := range f.near {
-			if s.State == Ready && !s.ejected {
+			if s.State == Ready && (!s.ejected || g.trialDue(r, s)) {
 				if near = append(near, s); len(near) == nearest {
 					break
 				}
@@ -1011,7 +1018,7 @@
 			score *= 1.05
 		}
 		if s.ejected && !desperate {
-			if g.now < s.until || s.trial || s.out > 0 || r.class.Effect != Safe {
+			if !g.trialDue(r, s) {
 				continue
 			}
 			score = 0 // a trial is due
@@ -1023,6 +1030,11 @@
 	return best
 }
 
+// trialDue tells whether a request may try a server that is left out.
+func (g *Gateway) trialDue(r *request, s *server) bool {
+	return g.now >= s.until && !s.trial && s.out == 0 && r.class.Effect == Safe && r.attempts == 0
+}
+
 // sameGroup keeps a keyed repeat to the hosts that drop it, and only while they do.
 func (g *Gateway) sameGroup(r *request, s *server) bool {
 	if !r.ran || r.class.Effect != Keyed {
--- a/logic/state.go
+++ b/logic/state.go
@@ -40,6 +40,7 @@
 	tier, figured           int           // its tier's number; the change that plan is from
 	print                   uint64        // of the figures that counts are told in
 	n, place                float64       // gateways the customer may use; this one's place among them
+	parts, unseen           float64       // that the quota is dealt to; units passed here that no count holds
 	sparse                  bool          // the part cannot hold a request: drawn on demand
 	ticketed                bool          // the part is too coarse for sums: drawn ahead from one store for all
 	stamp                   stamp         // the last total of that store
@@ -134,7 +135,6 @@
 	units              float64         // of a request, smoothed
 	dearest            float64         // price of the dearest plan
 	callsSaved         float64         // at most
-	leastCalls         float64         // of calling
 	callsLeft, calling float64         // calling: share of the calls that are made
 	failed             int             // calls in a row
 	began, second      time.Duration
@@ -203,7 +203,7 @@
 }
 
 // even is g: the part of a gateway that knows nothing of the others.
-func (c *customer) even() float64 { return c.quota() / c.n }
+func (c *customer) even() float64 { return c.quota() / c.parts }
 
 // name is that of one of the interval's counts: gateways agree on it without talk. Those that hold the firm to other
 // figures count in other steps and intervals, so theirs have other names.
@@ -225,7 +225,7 @@
 }
 
 // store is the size of the local store: the burst's share.
-func (c *customer) store() float64 { return c.plan.Burst / c.n }
+func (c *customer) store() float64 { return c.plan.Burst / c.parts }
 
 // lasts is how long a count is added to.
 func (c *customer) lasts(what int64) time.Duration {
@@ -358,6 +358,24 @@
 	}
 }
 
+// untried is the latency of a server not met yet. One of many gateways meets it late: until then it is the fleet's, as
+// that changes.
+func (g *Gateway) untried(f *fleet) float64 {
+	if g.blind > 0 {
+		return 0
+	}
+	return f.latency
+}
+
+// priceOf is the price of the dearest plan.
+func priceOf(plans []Plan) float64 {
+	price := 1e-9
+	for _, p := range plans {
+		price = max(price, p.Price)
+	}
+	return price
+}
+
 // usual is a server's latency, a little under the fleet's where none is known of its own: one not tried yet should be.
 func (s *server) usual() float64 {
 	if s.latency == 0 {
