--- a/logic/logic.go
+++ b/logic/logic.go
@@ -386,7 +386,7 @@
 		}
 		return
 	}
-	if g.blind > 0 && e.Latency > g.set.CounterLimit { // a crowd: the answer is good, but there are too many calls
+	if g.blind > 0 && e.Latency > g.set.CounterLimit { // a crowd: a good answer, but too many calls
 		g.calling = max(0.95*g.calling, leastCalling)
 	}
 	g.backoff, g.failed, g.calling = 500*ms, 0, min(callsGrow*g.calling, 1)
@@ -1032,7 +1032,8 @@
 
 // trialDue tells whether a request may try a server that is left out.
 func (g *Gateway) trialDue(r *request, s *server) bool {
-	return g.now >= s.until && !s.trial && s.out == 0 && r.class.Effect == Safe && r.attempts == 0
+	first := r.attempts == 0 || g.blind == 0
+	return g.now >= s.until && !s.trial && s.out == 0 && r.class.Effect == Safe && first
 }
 
 // sameGroup keeps a keyed repeat to the hosts that drop it, and only while they do.
