--- a/logic/logic.go
+++ b/logic/logic.go
@@ -524,7 +524,7 @@
 func (g *Gateway) ticket(r *request) bool {
 	c := r.cust
 	ripe := c.credit - max(0, (c.due-g.now).Seconds()*c.plan.Rate)
-	if c.credit < r.Units-1e-9 || ripe < r.Units-1e-9 || c.out >= c.slots(g) {
+	if ripe < r.Units-1e-9 || c.out >= c.slots(g) {
 		return false
 	}
 	c.credit -= r.Units
@@ -895,8 +895,7 @@
 // fleet stays jammed. Only a new answer lowers it, not one bad answer again and again where few come.
 func (g *Gateway) stress(f *fleet, share float64) {
 	f.strain += 0.05 * (1 + 3*g.blind) * (share - f.strain)
-	pause := max(cutEvery, time.Duration(g.blind*f.latency)) // a cut shows in the answers only then
-	if f.strain > strained && g.now-f.cut >= pause {
+	if f.strain > strained && g.now-f.cut >= max(cutEvery, time.Duration(g.blind*f.latency)) {
 		left := max(0.93-0.13*g.blind, min(strained/f.strain, 0.93))
 		f.limit, f.cut = max(f.limit*left, 1/float64(g.set.Gateways)), g.now
 	}
