One of many limiters leaves out a hall after four tries in a row that met nobody

Cause: watchFleet() believed in every server that this limiter had not met. Change: four tries in a row that met nobody, with no answer from the hall between, leave it out of the choice and of the bound's count, until an answer, a restart there or two seconds later; strain follows newer answers.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,10 +50,9 @@
 	healthStep, sick      = 0.2, 0.35                    // newest outcome in failures; more ejects
 	firstEject, lastEject = time.Second, 8 * time.Second // doubled with each failed trial
 	silentWork            = 7.0                          // mean latencies unanswered before a server looks hung
-	rareTrials            = 4.0                          // times longer, where each of many tries it
 	leastSilent           = 100 * ms                     // of such a latency: a quick server may pause, too
 	retryEarn, retryMost  = 0.2, 20.0                    // retries earned by each first attempt, and saved
-	unrun                 = 0.2                          // of a retry, where nothing has run
+	unrun, rareTrials     = 0.2, 4.0                     // of a retry, where nothing ran; longer, tried by many
 	limitStart, limitMost = 12.0, 64.0                   // attempts out at a server: by all at first, by one
 	calm, strained        = 0.3, 0.4                     // share of the aim where the bound grows, and falls
 	slowAnswers           = 2.0                          // times the idle latency: then time-outs show load, too
@@ -753,6 +752,7 @@
 		if s.Started != e.Started { // a new process: nothing known of the old one holds
 			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, g.untried(f)
 			s.cold, s.coldAt = g.random(), g.now // not all gateways at once
+			f.met(e.Zone, OK, g.now)
 		}
 		s.Server = e
 		s.listed = e.State != Gone
@@ -789,7 +789,7 @@
 	warm := 0
 	f.busy, f.usable, f.power = 0, 0, 0
 	for _, s := range f.list {
-		if s.State == Ready && !s.ejected {
+		if s.State == Ready && !s.ejected && !f.lost(s.Zone, g.now) {
 			f.busy += float64(s.out)
 			f.usable++
 			f.power += max(g.warmth(s), 1-g.blind)
@@ -840,6 +840,7 @@
 // judge learns from an outcome.
 func (g *Gateway) judge(s *server, r *request, o Outcome) {
 	lat, f := float64(g.now-r.sentAt), s.fleet
+	f.met(s.Zone, o.Status, g.now)
 	switch o.Status {
 	case OK:
 		s.heard = g.now
@@ -882,10 +883,7 @@
 			s.fails += healthStep / 2 * (1 - s.fails)
 		}
 		// Of many gateways each meets a server seldom: waiting for more would cost each of them as many requests.
-		if o.Status == ConnectFailed || g.blind > 0 {
-			s.fails = max(s.fails, sick+0.01)
-		}
-		if s.trial || s.fails > sick && !s.ejected {
+		if s.trial || !s.ejected && (s.fails > sick || o.Status == ConnectFailed || g.blind > 0) {
 			g.eject(s, "failures")
 		}
 	}
@@ -894,7 +892,7 @@
 // stress lowers the bound when answers take too much of their aim, or queues move into the servers and the
 // fleet stays jammed. Only a new answer lowers it, not one bad answer again and again where few come.
 func (g *Gateway) stress(f *fleet, share float64) {
-	f.strain += 0.05 * (1 + 3*g.blind) * (share - f.strain)
+	f.strain += 0.05 * (1 + 6*g.blind) * (share - f.strain)
 	if f.strain > strained && g.now-f.cut >= max(cutEvery, time.Duration(g.blind*f.latency)) {
 		left := max(0.93-0.13*g.blind, min(strained/f.strain, 0.93))
 		f.limit, f.cut = max(f.limit*left, 1/float64(g.set.Gateways)), g.now
@@ -978,7 +976,7 @@
 	if f := r.fleet; g.blind > 0 && len(f.list) > candidates {
 		near := make([]*server, 0, nearest)
 		for _, s := range f.near {
-			if s.State == Ready && (!s.ejected || g.trialDue(r, s)) {
+			if s.State == Ready && !f.lost(s.Zone, g.now) && (!s.ejected || g.trialDue(r, s)) {
 				if near = append(near, s); len(near) == nearest {
 					break
 				}
@@ -1031,8 +1029,8 @@
 
 // trialDue tells whether a request may try a server that is left out.
 func (g *Gateway) trialDue(r *request, s *server) bool {
-	first := r.attempts == 0 || g.blind == 0
-	return g.now >= s.until && !s.trial && s.out == 0 && r.class.Effect == Safe && first
+	may := r.class.Effect == Safe && (r.attempts == 0 || g.blind == 0)
+	return may && g.now >= s.until && !s.trial && s.out == 0
 }
 
 // sameGroup keeps a keyed repeat to the hosts that drop it, and only while they do.
--- a/logic/many_test.go
+++ b/logic/many_test.go
@@ -411,6 +411,46 @@
 	}
 }
 
+// Where a whole hall is cut off, one of many gateways must not have to meet each of its servers; an answer from there
+// ends the suspicion, and after a while one more try finds out.
+func TestALostHallIsLeftOutAtOnce(t *testing.T) {
+	set := testSettings()
+	set.Gateways, set.HasCounter = 80, false
+	list := ready(60)
+	for k := range list {
+		list[k].Zone = k % 2
+	}
+	b := newBench(t, set, list...)
+	send := func() *played { return b.arrive(Request{Customer: b.nextID, Units: 0.1}) }
+	toLost, after := 0, 0
+	for n := range 60 {
+		p := send()
+		for p.out && b.g.servers[p.server].Zone == 1 {
+			if toLost++; n >= 30 {
+				after++
+			}
+			b.end(p, ConnectFailed)
+		}
+		if p.out {
+			b.end(p, OK)
+		}
+		b.run(20*ms, nil)
+	}
+	if toLost < hallSilent || toLost > 2*hallSilent || after > 1 {
+		t.Errorf("%d tries to the lost hall, %d after half of the time", toLost, after)
+	}
+	b.run(hallForgets, nil)
+	for range 40 {
+		if p := send(); p.out {
+			b.end(p, OK)
+		}
+		b.run(20*ms, nil)
+	}
+	if b.g.lost(1, b.now) || b.g.halls[1].silent > 0 {
+		t.Error("the hall is not used again")
+	}
+}
+
 // A cold server takes its part of the fleet's work by what it can do, no less: where most servers are new, the few warm
 // ones jam if the others stand idle.
 func TestColdServersOfManyTakeTheirPart(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -104,10 +104,38 @@
 	room            float64       // attempts that may go, where many gateways share few servers
 	busy, usable    float64       // attempts out at the usable servers, their number
 	power           float64       // of these, in warm servers
+	halls           map[int]hall  // by zone
 	sendRate, sends float64       // attempts a second to each warm server, smoothed
 	cut             time.Duration // the last time the limit fell
 }
 
+// hall counts the attempts in a zone that met nobody since the last one that was answered well.
+type hall struct {
+	silent int
+	at     time.Duration
+}
+
+const hallSilent, hallForgets = 4, 2 * time.Second
+
+// met notes how an attempt in a zone ended.
+func (f *fleet) met(zone int, st Status, now time.Duration) {
+	h := f.halls[zone]
+	switch st {
+	case OK:
+		h.silent = 0
+	case ConnectFailed, Timeout:
+		h.silent, h.at = h.silent+1, now
+	}
+	f.halls[zone] = h
+}
+
+// lost tells whether a whole zone seems to be cut off. After a while one more attempt may find out. One of many gateways
+// would otherwise have to meet each of its servers.
+func (f *fleet) lost(zone int, now time.Duration) bool {
+	h := f.halls[zone]
+	return h.silent >= hallSilent && now-h.at < hallForgets
+}
+
 // Gateway holds what one gateway knows.
 type Gateway struct {
 	set                Settings
@@ -149,7 +177,7 @@
 func (g *Gateway) group(n int) *fleet {
 	for len(g.fleets) <= n {
 		g.fleets = append(g.fleets, &fleet{limit: limitStart / (1 + g.blind) / float64(g.set.Gateways),
-			retries: retryMost, latency: g.guess, base: g.guess, room: 1})
+			retries: retryMost, latency: g.guess, base: g.guess, room: 1, halls: map[int]hall{}})
 	}
 	return g.fleets[max(n, 0)]
 }
