A fleet whose watches of discovery fail asks with jitter and a bound for all together

Checked: the sends by age of the node and the limiters' logs. Cause: Run() in internal/discovery doubled its wait to two seconds without jitter, so all asked in step, and the module's wish for a list made fetches() ask for a whole one every one to two seconds beside the watch; together 60 asks a second. Change: waits with jitter, bounded by what all limiters together may ask (20 a second); a start with a known list spreads the first asks; whole lists are no longer asked for, since a watch brings them. Four limiters or fewer ask as before.

--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -66,7 +66,7 @@
 	if service != nil {
 		callers = append(callers, service.prepare(cfg.settings, owner, board))
 	}
-	owner.Connect(callers, counts, list, board, keeper)
+	owner.Connect(callers, counts, board, keeper)
 	owner.Begin()
 	list.Known(cfg.Known)
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,9 +129,6 @@
 	Server logic.ServerID
 }
 
-// Refresh asks discovery for the whole list (effect).
-type Refresh struct{}
-
 // SetTimer asks for its Timer back as an event at the time At (effect).
 type SetTimer struct {
 	At    time.Duration
@@ -292,8 +289,7 @@
 			r.do(SetTimer{r.now + probeWait, Timer{probeTimer, Key{ID: r.next}}})
 		case logic.CloseIdle:
 			r.do(CloseIdle{r.groups[a.Server], a.Server})
-		case logic.Watch, logic.FetchList:
-			r.do(Refresh{}) // the watch itself is always on; what may be missing is a whole list
+		case logic.Watch, logic.FetchList: // the watch is always on: where it ends, discovery's client begins the next
 		case logic.Log:
 			r.do(Log{a.Text})
 		case logic.Tell: // limiters cannot talk to each other on sockets: the same as a message lost
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,7 +26,11 @@
 	silence    = 7 * time.Second // an empty line comes every 2 s: this watch has ended unseen
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 2 * time.Second
-	mostLine   = 4 << 20 // of the list
+
+	fleetAsks   = 20.0 // a second, of all limiters together while discovery fails
+	fewLimiters = 4    // ask as they like
+
+	mostLine = 4 << 20 // of the list
 )
 
 // List is discovery's form of the servers, whole or as changes.
@@ -59,7 +64,7 @@
 	book  Addresses
 	post  func(core.Event)
 	http  http.Client
-	fetch chan struct{} // a whole list is asked for
+	fleet int // limiters that ask the same discovery
 
 	mu      sync.Mutex
 	addr    string             // "": there is none
@@ -73,21 +78,13 @@
 	// The standard library's connections: net/http closes one while it reads from it, which netpoll's do not bear.
 	dial := (&net.Dialer{Timeout: dialLimit}).DialContext
 	return &Client{addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
-		fetch: make(chan struct{}, 1),
+		fleet: set.Gateways,
 		http:  http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}}}
 }
 
 // Known takes the list that this limiter last held. It may be old.
 func (c *Client) Known(l List) { c.take(l, true) }
 
-// Refresh asks for the whole list. It never waits.
-func (c *Client) Refresh() {
-	select {
-	case c.fetch <- struct{}{}:
-	default:
-	}
-}
-
 // Move follows the list at another address from now on. Guards against a watch that lives on at an address that
 // tells nothing more: it is left at once, and not asked again after the usual wait.
 func (c *Client) Move(addr string) {
@@ -101,8 +98,10 @@
 
 // Run follows the list until the context ends. Where a watch breaks it begins the next from the last version.
 func (c *Client) Run(ctx context.Context) {
-	lastwords.Go(func() { c.fetches(ctx) })
-	retry := firstRetry
+	failed := 0
+	if c.knows() { // what is known does until all the others have asked
+		sleep(ctx, pause(0, c.fleet, rand.Float64()))
+	}
 	for ctx.Err() == nil {
 		began := time.Now()
 		here, moved := context.WithCancel(ctx)
@@ -118,42 +117,48 @@
 		if ctx.Err() == nil {
 			slog.Info("the watch of discovery ended", "err", err)
 		}
-		sleep(here, retry)
-		if retry = min(2*retry, lastRetry); here.Err() != nil || time.Since(began) > silence {
-			retry = firstRetry
+		if failed++; time.Since(began) > silence {
+			failed = 1
+		}
+		sleep(here, pause(failed, c.fleet, rand.Float64()))
+		if here.Err() != nil {
+			failed = 0
 		}
 		moved()
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+// pause is the wait before a watch is asked for once more, after so many that failed in a row; luck is from 0 to 1. Before
+// the first of a start it spreads a fleet that starts at once. Guards against all limiters asking in step, and against a
+// fleet whose asking alone keeps discovery from answering anybody: all together ask for no more than fleetAsks a second.
+func pause(failed, fleet int, luck float64) time.Duration {
+	share := time.Duration(float64(fleet) / fleetAsks * float64(time.Second))
+	if fleet <= fewLimiters {
+		share = 0
 	}
-}
-
-func (c *Client) fetches(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c.fetch:
-			if err := c.whole(ctx); err != nil {
-				slog.Warn("cannot fetch the list", "err", err)
-				c.post(core.UpstreamGroup{ServerList: logic.ServerList{Failed: true}})
-			}
-		}
+	if failed == 0 {
+		return time.Duration(luck * float64(share) / 2)
 	}
+	most := max(lastRetry, 2*share)
+	wait := min(firstRetry<<min(failed-1, 16), most)
+	if fleet <= fewLimiters {
+		return wait
+	}
+	return time.Duration((0.5 + luck) * float64(max(wait, share/4)))
 }
 
-func (c *Client) whole(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, silence)
-	defer cancel()
+// knows tells whether there is a list to go by.
+func (c *Client) knows() bool {
 	c.mu.Lock()
-	addr := c.addr
-	c.mu.Unlock()
-	return c.lines(ctx, addr+"/registry/instances", func() {})
+	defer c.mu.Unlock()
+	return len(c.ids) > 0
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
 }
 
 func (c *Client) watch(ctx context.Context) error {
--- /dev/null
+++ b/internal/discovery/pause_test.go
@@ -0,0 +1,45 @@
+package discovery
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A fleet whose watches end together must not keep discovery too busy to answer anybody: after the first seconds all
+// limiters together ask seldom, and not in step.
+func TestAFleetThatIsRefusedAsksSeldomAndNotInStep(t *testing.T) {
+	const fleet, seconds = 80, 40
+	rng := rand.New(rand.NewPCG(1, 2))
+	var asked [seconds * 10]int // by tenths of a second
+	for range fleet {
+		at := time.Duration(0)
+		for failed := 1; at < seconds*time.Second; failed++ {
+			asked[at/(100*time.Millisecond)]++
+			at += pause(failed, fleet, rng.Float64())
+		}
+	}
+	var late, most int
+	for _, n := range asked[100:] {
+		late += n
+		most = max(most, n)
+	}
+	require.Less(t, late, int(fleetAsks)*(seconds-10), "asks after ten seconds")
+	require.Less(t, most, fleet/8, "asks in a tenth of a second")
+}
+
+// A fleet that starts at once has a list to go by: its first asks are spread.
+func TestAFleetThatStartsAtOnceSpreadsItsFirstAsks(t *testing.T) {
+	require.Zero(t, pause(0, fewLimiters, 1))
+	require.Equal(t, 2*time.Second, pause(0, 80, 1))
+	require.Zero(t, pause(0, 80, 0))
+}
+
+// Few limiters ask as before: at once, then up to every two seconds.
+func TestFewLimitersAskOften(t *testing.T) {
+	for failed, want := range map[int]time.Duration{1: firstRetry, 2: 2 * firstRetry, 5: 16 * firstRetry, 9: lastRetry, 99: lastRetry} {
+		require.Equal(t, want, pause(failed, 3, 0.3), "after %d", failed)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -33,17 +33,13 @@
 	Keep(book plans.Snapshot, after func(error))
 }
 
-// Refresher asks discovery for the whole list. It may not block.
-type Refresher interface{ Refresh() }
-
 // Loop is the owner of a reducer.
 type Loop struct {
-	reducer   *core.Reducer
-	callers   []Caller // by group
-	counter   Counter
-	refresher Refresher
-	board     *plans.Board
-	keeper    Keeper // nil: nothing is kept
+	reducer *core.Reducer
+	callers []Caller // by group
+	counter Counter
+	board   *plans.Board
+	keeper  Keeper // nil: nothing is kept
 
 	ids  atomic.Uint64
 	open atomic.Int64
@@ -59,10 +55,10 @@
 // New makes a loop; Run starts it once its parts are set.
 func New(r *core.Reducer) *Loop { return &Loop{reducer: r, wake: make(chan struct{}, 1)} }
 
-// Connect sets the parts that effects go to: the callers by group, the counter, discovery, the board that shows the
+// Connect sets the parts that effects go to: the callers by group, the counter, the board that shows the
 // plans, and who keeps them (nil: nobody).
-func (l *Loop) Connect(callers []Caller, counter Counter, refresher Refresher, board *plans.Board, keeper Keeper) {
-	l.callers, l.counter, l.refresher, l.board, l.keeper = callers, counter, refresher, board, keeper
+func (l *Loop) Connect(callers []Caller, counter Counter, board *plans.Board, keeper Keeper) {
+	l.callers, l.counter, l.board, l.keeper = callers, counter, board, keeper
 }
 
 // Begin brings into force what is due before the first event. It is called before Run.
@@ -172,8 +168,6 @@
 		l.callers[e.Group].AbandonProbe(e)
 	case core.CloseIdle:
 		l.callers[e.Group].CloseIdle(e.Server)
-	case core.Refresh:
-		l.refresher.Refresh()
 	case core.Publish:
 		l.board.Show(plans.Sheet{Version: e.Version, Tiers: e.Tiers, Plans: e.Plans})
 		slog.Info("plans in force", "version", e.Version, "tiers", len(e.Tiers))
--- a/internal/model/limiter.go
+++ b/internal/model/limiter.go
@@ -72,6 +72,23 @@
 	seed := source(l.w.seed, "limiter", l.rank*1000+l.life).Uint64()
 	l.d = l.w.policy.New(l.w.settings(l.rank), seed)
 	l.post(core.UpstreamGroup{ServerList: logic.ServerList{Whole: true, Cached: true, Servers: append([]logic.Server(nil), l.known...)}})
+	l.watch()
+}
+
+const watchTakes = 0.2 // seconds
+
+// watch has the limiter told the whole list, as its watch would bring it, once discovery answers.
+func (l *limiter) watch() {
+	life := l.life
+	l.w.sim.At(l.w.sim.now+seconds(watchTakes), func() {
+		switch {
+		case l.life != life:
+		case l.w.deaf:
+			l.watch()
+		default:
+			l.w.tellAll(l)
+		}
+	})
 }
 
 func (l *limiter) die() {
@@ -180,8 +197,6 @@
 		if f := l.probes[e.Probe]; f != nil {
 			f.end(logic.Timeout)
 		}
-	case core.Refresh:
-		l.w.tellAll(l)
 	case alarm:
 		life := l.life
 		l.w.sim.At(e.at, func() {
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -131,9 +131,6 @@
 
 // tellAll gives a limiter the whole list at once, as its agent would.
 func (w *World) tellAll(l *limiter) {
-	if w.deaf {
-		return
-	}
 	l.learn(logic.ServerList{Whole: true, Servers: w.list()})
 }
 
