What waits for a server goes by its worth, so that a jam earns the most

A transfer-post of the full plan earns six times what a balance-read of an associate does and is the same work. Cause: dispatch() took the queue in the order of its coming. Change: it takes the dearest first (class worth by plan price), then the oldest; given-up requests are answered as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -921,10 +921,11 @@
 	return from+g.expected(r)/2 > r.useful
 }
 
-// dispatch sends waiting requests, oldest first, while servers have room.
+// dispatch sends waiting requests, dearest and then oldest first, while servers have room.
 func (g *Gateway) dispatch() {
 	var kept, late []*request
 	full := map[*fleet]bool{}
+	slices.SortStableFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.worth(), a.worth()) })
 	for _, r := range g.queue {
 		var s *server
 		if g.windowClosed(r) || g.tooLate(r, g.now) {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -614,3 +614,24 @@
 		t.Errorf("answer %q with the window closed", p.answer)
 	}
 }
+
+// Where servers have room for some only, what waits goes by its worth: in a jam the same work must earn the most.
+func TestTheDearestOfWhatWaitsGoesFirst(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Worth, set.Classes[1].Worth = 2, 5
+	b := newBench(t, set, ready(1)...)
+	var first *played
+	for customer := uint64(1); first == nil || first.out; customer++ { // until the server is full
+		first = b.arrive(Request{Customer: customer, Class: 0, Units: 0.1})
+	}
+	var cheap []*played
+	for customer := range uint64(5) {
+		cheap = append(cheap, b.arrive(Request{Customer: 5000 + customer, Class: 0, Units: 0.1}))
+	}
+	dear := b.arrive(Request{Customer: 9999, Class: 1, Units: 0.1})
+	b.end(b.reqs[1], OK)
+	b.run(tick, nil)
+	if !dear.out || cheap[4].out {
+		t.Errorf("the dear request is out: %v, a cheap one before it: %v", dear.out, cheap[4].out)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -355,6 +355,9 @@
 	return g.actions
 }
 
+// worth is what serving a request earns for each unit.
+func (r *request) worth() float64 { return r.class.Worth * r.plan.Price }
+
 // demand is what a request adds to its customer's demand: units, or seconds of an attempt out.
 func (r *request) demand(g *Gateway) float64 {
 	if r.plan.Rate > 0 {
