A start asks discovery at once again: what it would have been told binds it

Cause: the spread of the first asks over two seconds in Run() of internal/discovery. Waits after a failure stay bounded for the fleet, six seconds at most.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -28,7 +28,8 @@
 	lastRetry  = 2 * time.Second
 
 	fleetAsks   = 20.0 // a second, of all limiters together while discovery fails
-	fewLimiters = 4    // ask as they like
+	mostRetry   = 4 * time.Second
+	fewLimiters = 4 // ask as they like
 
 	mostLine = 4 << 20 // of the list
 )
@@ -99,9 +100,6 @@
 // Run follows the list until the context ends. Where a watch breaks it begins the next from the last version.
 func (c *Client) Run(ctx context.Context) {
 	failed := 0
-	if c.knows() { // what is known does until all the others have asked
-		sleep(ctx, pause(0, c.fleet, rand.Float64()))
-	}
 	for ctx.Err() == nil {
 		began := time.Now()
 		here, moved := context.WithCancel(ctx)
@@ -128,30 +126,16 @@
 	}
 }
 
-// pause is the wait before a watch is asked for once more, after so many that failed in a row; luck is from 0 to 1. Before
-// the first of a start it spreads a fleet that starts at once. Guards against all limiters asking in step, and against a
-// fleet whose asking alone keeps discovery from answering anybody: all together ask for no more than fleetAsks a second.
+// pause is the wait before a watch is asked for once more, after so many that failed in a row; luck is from 0 to 1. Guards
+// against all limiters of a fleet asking in step, and so often that discovery answers nobody. It stays short: what a
+// limiter would have been told had it asked binds it (drains), so a start asks at once, too.
 func pause(failed, fleet int, luck float64) time.Duration {
-	share := time.Duration(float64(fleet) / fleetAsks * float64(time.Second))
-	if fleet <= fewLimiters {
-		share = 0
-	}
-	if failed == 0 {
-		return time.Duration(luck * float64(share) / 2)
-	}
-	most := max(lastRetry, 2*share)
-	wait := min(firstRetry<<min(failed-1, 16), most)
+	wait := firstRetry << min(failed-1, 16)
 	if fleet <= fewLimiters {
-		return wait
+		return min(wait, lastRetry)
 	}
-	return time.Duration((0.5 + luck) * float64(max(wait, share/4)))
-}
-
-// knows tells whether there is a list to go by.
-func (c *Client) knows() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.ids) > 0
+	share := time.Duration(float64(fleet) / fleetAsks * float64(time.Second))
+	return time.Duration((0.5 + luck) * float64(max(share/4, min(wait, max(lastRetry, min(share, mostRetry))))))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
