Refused watches of a fleet wait one to five seconds; one that had stood is begun within 400 ms

Cause: after a refusal pause() began at half a second, so 56 limiters asked 56 times a second for their first rounds, over what discovery bears (about 30, judged by what 28 a second did), and it answered nobody. Change: each refused watch waits one to five seconds with 80 limiters; a watch that had stood is asked for within the grace for drains, and a start asks at once.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -29,7 +29,8 @@
 
 	fleetAsks   = 20.0 // a second, of all limiters together while discovery fails
 	mostRetry   = 4 * time.Second
-	fewLimiters = 4 // ask as they like
+	mostApart   = 400 * time.Millisecond // within the grace for drains
+	fewLimiters = 4                      // ask as they like
 
 	mostLine = 4 << 20 // of the list
 )
@@ -111,12 +112,12 @@
 			<-here.Done()
 			continue
 		}
-		err := c.watch(here)
+		stood, err := c.watch(here)
 		if ctx.Err() == nil {
 			slog.Info("the watch of discovery ended", "err", err)
 		}
-		if failed++; time.Since(began) > silence {
-			failed = 1
+		if failed++; stood && time.Since(began) > lastRetry {
+			failed = 0
 		}
 		sleep(here, pause(failed, c.fleet, rand.Float64()))
 		if here.Err() != nil {
@@ -126,16 +127,18 @@
 	}
 }
 
-// pause is the wait before a watch is asked for once more, after so many that failed in a row; luck is from 0 to 1. Guards
-// against all limiters of a fleet asking in step, and so often that discovery answers nobody. It stays short: what a
-// limiter would have been told had it asked binds it (drains), so a start asks at once, too.
+// pause is the wait before a watch is asked for once more, after so many in a row that came to nothing; luck is from 0 to
+// 1. Guards against all limiters of a fleet asking in step, and so often that discovery answers nobody. It is short where a
+// watch had stood, and a start asks at once: what a limiter would have been told had it asked binds it (drains).
 func pause(failed, fleet int, luck float64) time.Duration {
-	wait := firstRetry << min(failed-1, 16)
-	if fleet <= fewLimiters {
-		return min(wait, lastRetry)
+	switch {
+	case fleet <= fewLimiters:
+		return min(firstRetry<<min(max(failed-1, 0), 16), lastRetry)
+	case failed == 0:
+		return time.Duration(luck * float64(mostApart))
 	}
 	share := time.Duration(float64(fleet) / fleetAsks * float64(time.Second))
-	return time.Duration((0.5 + luck) * float64(max(share/4, min(wait, max(lastRetry, min(share, mostRetry))))))
+	return time.Duration((0.25 + luck) * float64(min(share, mostRetry)))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -145,7 +148,8 @@
 	}
 }
 
-func (c *Client) watch(ctx context.Context) error {
+// watch follows the list and tells, when it ends, whether it had brought anything.
+func (c *Client) watch(ctx context.Context) (stood bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	watchdog := lastwords.AfterFunc(silence, cancel)
@@ -153,7 +157,11 @@
 	c.mu.Lock()
 	path := c.addr + "/registry/instances?watch=1&from=" + strconv.FormatInt(c.version, 10)
 	c.mu.Unlock()
-	return c.lines(ctx, path, func() { watchdog.Reset(silence) })
+	err = c.lines(ctx, path, func() {
+		stood = true
+		watchdog.Reset(silence)
+	})
+	return stood, err
 }
 
 // lines takes the lists of an answer, one a line, and tells of every line that comes.
