Take out the way of probes through the program, which nothing asks for any more

Need: since the module makes no probes, the reducer, loop, upstream, gRPC caller and model carried 120 lines that nothing could reach. Change: they are gone; logic keeps the action and its answer, since the simulator's wire names them.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,13 +51,6 @@
 	Total  float64
 }
 
-// ProbeResult answers a Probe effect (event).
-type ProbeResult struct {
-	Probe  uint64
-	Status logic.Status
-	Load   []float64
-}
-
 // ClientGone says that a request context's client no longer waits (event).
 type ClientGone struct{ ID uint64 }
 
@@ -110,19 +103,6 @@
 	Until  time.Duration
 }
 
-// Probe asks a server for its load (effect).
-type Probe struct {
-	Probe  uint64
-	Group  int
-	Server logic.ServerID
-}
-
-// AbandonProbe ends the wait for a probe (effect).
-type AbandonProbe struct {
-	Probe uint64
-	Group int
-}
-
 // CloseIdle closes the idle connections to a server (effect).
 type CloseIdle struct {
 	Group  int
@@ -141,7 +121,7 @@
 // Timer is an alarm of the reducer's own (event).
 type Timer struct {
 	kind timerKind
-	key  Key // ID: also the token, the call or the probe
+	key  Key // ID: also the token or the call
 }
 
 type timerKind uint8
@@ -150,13 +130,10 @@
 	moduleTimer timerKind = iota
 	tryTimer
 	countTimer
-	probeTimer
 	planTimer    // a version or a reservation is due
 	reserveTimer // reservations in use are looked after
 )
 
-const probeWait = 250 * time.Millisecond // a probe unanswered by then has timed out
-
 type requestContext struct {
 	origin   Origin
 	group    int
@@ -177,11 +154,6 @@
 	at   time.Duration
 }
 
-type probe struct {
-	server logic.ServerID
-	group  int
-}
-
 // Reducer owns all that the limiter knows. It is not safe for concurrent use: one goroutine owns it.
 type Reducer struct {
 	set      logic.Settings
@@ -195,7 +167,6 @@
 	now      time.Duration
 	requests map[uint64]*requestContext
 	calls    map[uint64]call
-	probes   map[uint64]probe
 	groups   map[logic.ServerID]int
 	next     uint64
 	effects  []Effect
@@ -205,7 +176,7 @@
 // New makes a reducer round a module with these settings. The book's plans go before the settings'.
 func New(set logic.Settings, seed uint64, book *plans.Book) *Reducer {
 	r := &Reducer{set: set, gateway: logic.New(set, seed), requests: map[uint64]*requestContext{},
-		calls: map[uint64]call{}, probes: map[uint64]probe{}, groups: map[logic.ServerID]int{}, book: book,
+		calls: map[uint64]call{}, groups: map[logic.ServerID]int{}, book: book,
 		reserves: reserve.New(set.Gateways, set.Rank, set.MostUnits), leases: map[uint64]uint64{}}
 	r.gateway.Use(book, r.reserves)
 	return r
@@ -231,11 +202,6 @@
 		r.tell(e.ServerList)
 	case CountResult:
 		r.counted(e)
-	case ProbeResult:
-		if p, ok := r.probes[e.Probe]; ok {
-			delete(r.probes, e.Probe)
-			r.tell(logic.ProbeResult{Server: p.server, Status: e.Status, Load: e.Load})
-		}
 	case ClientGone:
 		r.clientGone(e.ID)
 	case Closing:
@@ -282,11 +248,6 @@
 			r.do(SetTimer{r.now + a.After, Timer{moduleTimer, Key{ID: uint64(a.Token)}}})
 		case logic.Count:
 			r.count(a)
-		case logic.Probe:
-			r.next++
-			r.probes[r.next] = probe{a.Server, r.groups[a.Server]}
-			r.do(Probe{r.next, r.groups[a.Server], a.Server})
-			r.do(SetTimer{r.now + probeWait, Timer{probeTimer, Key{ID: r.next}}})
 		case logic.CloseIdle:
 			r.do(CloseIdle{r.groups[a.Server], a.Server})
 		case logic.Watch, logic.FetchList: // the watch is always on: where it ends, discovery's client begins the next
@@ -405,11 +366,5 @@
 	case reserveTimer:
 		r.tending = false
 		r.reserves.Tick(r.now)
-	case probeTimer:
-		if p, ok := r.probes[t.key.ID]; ok {
-			delete(r.probes, t.key.ID)
-			r.do(AbandonProbe{t.key.ID, p.group})
-			r.tell(logic.ProbeResult{Server: p.server, Status: logic.Timeout})
-		}
 	}
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -20,8 +20,6 @@
 type Caller interface {
 	Try(core.Try)
 	Abandon(core.Abandon)
-	Probe(core.Probe)
-	AbandonProbe(core.AbandonProbe)
 	CloseIdle(logic.ServerID)
 }
 
@@ -162,10 +160,6 @@
 		e.Origin.Failed()
 	case core.Count:
 		l.counter.Count(e)
-	case core.Probe:
-		l.callers[e.Group].Probe(e)
-	case core.AbandonProbe:
-		l.callers[e.Group].AbandonProbe(e)
 	case core.CloseIdle:
 		l.callers[e.Group].CloseIdle(e.Server)
 	case core.Publish:
--- a/internal/model/limiter.go
+++ b/internal/model/limiter.go
@@ -40,7 +40,6 @@
 	d       Decider
 	effects []core.Effect
 	tries   map[core.Key]*flight
-	probes  map[uint64]*flight
 	known   []logic.Server                   // its list, kept over a restart
 	left    map[logic.ServerID]time.Duration // when it was told that a node drains or is gone
 	hears   time.Duration                    // when the last news come
@@ -52,11 +51,10 @@
 	CPU     time.Duration // spent in the decider, where it is measured
 }
 
-// flight is a try or a probe that is out.
+// flight is a try that is out.
 type flight struct {
 	l     *limiter
 	key   core.Key
-	probe uint64
 	n     *node
 	j     *job
 	state uint8 // 0: on its way, 1: at the node
@@ -67,7 +65,7 @@
 
 func (l *limiter) start() {
 	l.up, l.life = true, l.life+1
-	l.tries, l.probes, l.inbox = map[core.Key]*flight{}, map[uint64]*flight{}, nil
+	l.tries, l.inbox = map[core.Key]*flight{}, nil
 	l.open = map[*request]struct{}{}
 	seed := source(l.w.seed, "limiter", l.rank*1000+l.life).Uint64()
 	l.d = l.w.policy.New(l.w.settings(l.rank), seed)
@@ -100,10 +98,7 @@
 	for _, f := range l.tries {
 		f.drop()
 	}
-	for _, f := range l.probes {
-		f.drop()
-	}
-	l.tries, l.probes = nil, nil
+	l.tries = nil
 	l.downAt = l.w.sim.now
 	l.notice = l.w.sim.now + seconds(l.w.s.Clients.NoticeS.draw(l.w.rng))
 	for _, r := range l.held() {
@@ -191,12 +186,6 @@
 				l.post(core.CountResult{Call: e.Call, Status: s, Total: total})
 			}
 		})
-	case core.Probe:
-		l.probe(e)
-	case core.AbandonProbe:
-		if f := l.probes[e.Probe]; f != nil {
-			f.end(logic.Timeout)
-		}
 	case alarm:
 		life := l.life
 		l.w.sim.At(e.at, func() {
@@ -218,25 +207,12 @@
 	}
 	l.w.audit.tried(l, f.n, r)
 	l.send(f, func() {
-		f.j = &job{work: r.workAt(e.Key.Try), reply: func(s logic.Status) { f.answer(s, nil) }}
+		f.j = &job{work: r.workAt(e.Key.Try), reply: func(s logic.Status) { f.answer(s) }}
 		l.w.audit.came(f, r, e.Key.Try)
 		f.n.take(f.j)
 	})
 }
 
-func (l *limiter) probe(e core.Probe) {
-	f := &flight{l: l, probe: e.Probe, n: l.w.byID[e.Server]}
-	l.probes[e.Probe] = f
-	if f.n == nil {
-		f.end(logic.ConnectFailed)
-		return
-	}
-	l.send(f, func() {
-		inflight, queue, busy := f.n.load()
-		f.answer(logic.OK, []float64{queue, busy, inflight})
-	})
-}
-
 // send carries a flight to its node over a connection that stands idle, or a new one.
 func (l *limiter) send(f *flight, arrive func()) {
 	n, there := f.n, l.w.delay(l.hall, f.n.hall)
@@ -275,14 +251,14 @@
 }
 
 // answer carries a node's answer back.
-func (f *flight) answer(s logic.Status, load []float64) {
+func (f *flight) answer(s logic.Status) {
 	n, life := f.n, f.n.life
 	f.l.w.sim.After(f.l.w.delay(f.n.hall, f.l.hall), func() {
 		if f.ended || f.l.w.cutOff(n) || f.l.w.muted[n.hall] > 0 && n.hall != f.l.hall {
 			return
 		}
 		n.rest(f.l.rank, life)
-		f.finish(s, load)
+		f.finish(s)
 	})
 }
 
@@ -297,7 +273,7 @@
 	if f.j != nil {
 		f.j.gone = true
 	}
-	f.finish(s, nil)
+	f.finish(s)
 }
 
 func (f *flight) drop() {
@@ -307,16 +283,11 @@
 	}
 }
 
-func (f *flight) finish(s logic.Status, load []float64) {
+func (f *flight) finish(s logic.Status) {
 	if f.ended {
 		return
 	}
 	f.ended = true
-	if f.probe != 0 {
-		delete(f.l.probes, f.probe)
-		f.l.post(core.ProbeResult{Probe: f.probe, Status: s, Load: load})
-		return
-	}
 	delete(f.l.tries, f.key)
 	if f.j != nil {
 		f.l.w.audit.told(f, s)
--- a/internal/model/node.go
+++ b/internal/model/node.go
@@ -132,8 +132,3 @@
 	n.up, n.state, n.started = true, logic.Ready, n.w.sim.now
 	n.pushed = nil
 }
-
-// load is its report: inflight, queue, busy.
-func (n *node) load() (inflight, queue, busy float64) {
-	return float64(n.working + len(n.queue)), float64(len(n.queue)), min(1, float64(n.working)/float64(n.w.s.Node.Cores))
-}
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -166,14 +166,6 @@
 	}
 }
 
-// Probe implements loop.Caller: a rate limit service reports no load.
-func (c *Caller) Probe(p core.Probe) {
-	c.post(core.ProbeResult{Probe: p.Probe, Status: logic.Error})
-}
-
-// AbandonProbe implements loop.Caller; every probe has been answered at once.
-func (c *Caller) AbandonProbe(core.AbandonProbe) {}
-
 // CloseIdle implements loop.Caller: the library keeps one connection and closes it when idle.
 func (c *Caller) CloseIdle(logic.ServerID) {}
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,5 +1,5 @@
 // Package upstream holds the connections to the servers of the platform's upstream group: it makes the tries
-// and probes that the reducer asks for and reports how each ended. It chooses nothing and sends nothing again.
+// that the reducer asks for and reports how each ended. It chooses nothing and sends nothing again.
 package upstream
 
 import (
@@ -45,7 +45,6 @@
 	mu      sync.Mutex
 	targets map[logic.ServerID]*target
 	tries   map[core.Key]*flight
-	probes  map[uint64]*flight
 	open    int
 }
 
@@ -63,10 +62,9 @@
 	written
 )
 
-// flight is a try or a probe that is out.
+// flight is a try that is out.
 type flight struct {
 	try    core.Key
-	probe  uint64 // 0: a try
 	target *target
 	bytes  []byte
 	state  state
@@ -88,7 +86,7 @@
 // New makes a pool that holds so many connections at most.
 func New(set logic.Settings, most int, post func(core.Event)) *Pool {
 	p := &Pool{post: post, fields: set.ReportFields, most: most, up: set.ConnectTimeout,
-		targets: map[logic.ServerID]*target{}, tries: map[core.Key]*flight{}, probes: map[uint64]*flight{}}
+		targets: map[logic.ServerID]*target{}, tries: map[core.Key]*flight{}}
 	if p.up <= 0 {
 		p.up = defaultUp
 	}
@@ -147,17 +145,6 @@
 	p.start(f)
 }
 
-var infoLoad = resp.AppendCommand(nil, []byte("INFO"), []byte("load"))
-
-// Probe asks a server for its load.
-func (p *Pool) Probe(q core.Probe) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	f := &flight{probe: q.Probe, bytes: infoLoad, target: p.targets[q.Server]}
-	p.probes[q.Probe] = f
-	p.start(f)
-}
-
 // Abandon ends the wait for a try by closing its connection: the server must not be read for it any more.
 func (p *Pool) Abandon(a core.Abandon) {
 	p.mu.Lock()
@@ -167,15 +154,6 @@
 	}
 }
 
-// AbandonProbe ends the wait for a probe.
-func (p *Pool) AbandonProbe(a core.AbandonProbe) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if f := p.probes[a.Probe]; f != nil {
-		p.abandon(f, logic.Timeout)
-	}
-}
-
 // CloseIdle closes the idle connections to a server.
 func (p *Pool) CloseIdle(id logic.ServerID) {
 	p.mu.Lock()
@@ -204,14 +182,9 @@
 		return
 	}
 	f.done = true
-	if f.probe != 0 {
-		delete(p.probes, f.probe)
-		p.post(core.ProbeResult{Probe: f.probe, Status: o.Status, Load: o.Load})
-	} else {
-		delete(p.tries, f.try)
-		o.Key = f.try
-		p.post(o)
-	}
+	delete(p.tries, f.try)
+	o.Key = f.try
+	p.post(o)
 	if c := f.on; c != nil { // no answer was read: what may come on this connection belongs to nobody
 		c.flight, f.on = nil, nil
 		p.drop(c)
@@ -384,7 +357,7 @@
 	}
 	clean := c.parser.Buffered() == 0
 	c.flight, f.on = nil, nil
-	p.finish(p.read(reply, f.probe != 0), f)
+	p.finish(p.read(reply), f)
 	if !clean {
 		p.drop(c) // bytes that nobody asked for
 	} else if f.state == written {
@@ -426,13 +399,11 @@
 }
 
 // read turns a server's answer into an outcome.
-func (p *Pool) read(r resp.Reply, probe bool) core.Outcome {
+func (p *Pool) read(r resp.Reply) core.Outcome {
 	switch {
 	case r.Kind == '-':
 		return p.failure(r.Text)
-	case probe && r.Kind == '$' && !r.Null:
-		return core.Outcome{Status: logic.OK, Load: wire.Load(string(r.Text), p.fields)}
-	case !probe && r.Kind == '*' && len(r.Elems) == 3 && r.Elems[0].Kind == '$' && !r.Elems[0].Null:
+	case r.Kind == '*' && len(r.Elems) == 3 && r.Elems[0].Kind == '$' && !r.Elems[0].Null:
 		return core.Outcome{Status: logic.OK, Value: r.Elems[0].Text, Load: wire.Load(string(r.Elems[2].Text), p.fields)}
 	}
 	return core.Outcome{Status: logic.Spoilt} // no form that a value has: it may be anything
