--- /dev/null
+++ b/cmd/bramblefall/fleet_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Settings that do not fit a fleet must leave a limiter that answers: a place beyond the fleet, plans without a price, a
+// rate or a burst. (A fleet of none or of a million ends the start with one line.)
+func TestOddSettingsOfAFleetLeaveALimiterThatAnswers(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(object){
+		"a place beyond the fleet": func(o object) { o["balancers"], o["rank"] = 80, 4000 },
+		"a place before it":        func(o object) { o["balancers"], o["rank"] = 80, -3 },
+		"plans without a price":    func(o object) { o["balancers"], o["tariffs"].([]object)[0]["worthFactor"] = 80, 0.0 },
+		"plans without a rate":     func(o object) { o["balancers"], o["tariffs"].([]object)[0]["perSecond"] = 80, 0.0 },
+		"plans without a burst":    func(o object) { o["balancers"], o["tariffs"].([]object)[0]["depth"] = 80, 0.0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := settings()
+			change(set)
+			s := newServer(t, "s-1", "hall-a", value("v"))
+			l := start(t, world{settings: set, servers: []*server{s}, counter: newCounter(t)})
+			assert.Equal(t, strings.Contains(name, "place"), strings.Contains(l.log.String(), "beyond the fleet"))
+			c := l.dial()
+			for k := range 3 {
+				assert.Regexp(t, "^(v|-BUSY.*)$", c.do(ask(fmt.Sprintf("%02x", k+1))...))
+			}
+		})
+	}
+}
+
+// A list of thousands, with an id twice, must not make a limiter dial them all, nor a list of none end it.
+func TestAListOfThousandsOrOfNone(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["balancers"] = 80
+	s, r := newServer(t, "s-0", "hall-a", value("v")), newRegistry(t)
+	c := start(t, world{settings: set, servers: []*server{s}, registry: r}).dial()
+	var many []*server
+	for k := range 5000 {
+		many = append(many, &server{id: fmt.Sprintf("s-%d", k), addr: s.addr, zone: "hall-b", state: "ready"})
+	}
+	r.tell(2, true, append(many, many...)...)
+	for k := range 60 {
+		require.Equal(t, "v", c.do(ask(fmt.Sprintf("%03x", k+1))...))
+		time.Sleep(25 * time.Millisecond) // a connection rests after an answer
+	}
+	assert.LessOrEqual(t, s.connections(), 12, "servers that one of many limiters keeps to, and the first")
+	r.tell(3, true)
+	id := 0x1000
+	next := func() string { id++; return c.do(ask(fmt.Sprintf("%04x", id))...) }
+	require.Eventually(t, func() bool { return next()[0] == '-' }, patience, time.Millisecond)
+	r.tell(4, true, s)
+	require.Eventually(t, func() bool { return next() == "v" }, patience, time.Millisecond)
+}
--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -365,6 +365,8 @@
 	t.Parallel()
 	set := settings()
 	delete(set, "rules")
+	none, million := settings(), settings()
+	none["balancers"], million["balancers"] = 0, 1000000
 	good := object{"listen": "127.0.0.1:0", "settings": settings()}
 	for name, c := range map[string]struct {
 		config any
@@ -373,6 +375,8 @@
 		"no object":       {config: 7},
 		"no settings":     {config: object{"listen": "127.0.0.1:0"}},
 		"a setting short": {config: object{"listen": "127.0.0.1:0", "settings": set}},
+		"a fleet of none": {config: object{"listen": "127.0.0.1:0", "settings": none}},
+		"a million":       {config: object{"listen": "127.0.0.1:0", "settings": million}},
 		"no address":      {config: object{"settings": settings()}},
 		"seed":            {config: object{"listen": "127.0.0.1:0", "settings": settings(), "seed": "x"}},
 		"second front":    {config: good, second: object{"listne": "127.0.0.1:0"}},
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -55,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if n := cfg.settings.Gateways; cfg.settings.Rank < 0 || cfg.settings.Rank >= n {
+		slog.Warn("this limiter's number is beyond the fleet: it counts round", "number", cfg.settings.Rank, "limiters", n)
+	}
 	board := &plans.Board{}
 	owner := loop.New(core.New(cfg.settings, cfg.seed, book))
 	pool := upstream.New(cfg.settings, most/2, owner.Post)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -27,7 +27,7 @@
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 2 * time.Second
 
-	fleetAsks   = 20.0 // a second, of all limiters together while discovery fails
+	fleetAsks   = 20.0 // a second, a third more by the jitter: of all limiters together while discovery refuses
 	mostRetry   = 4 * time.Second
 	mostApart   = 400 * time.Millisecond // within the grace for drains
 	fewLimiters = 4                      // ask as they like
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -95,6 +95,8 @@
 	"recent_ms": logic.ServiceMillis, "throughput": logic.Throughput, "errors_per_s": logic.ErrorRate,
 }
 
+const mostGateways = 1 << 16
+
 // ParseSettings reads the settings of an instance. Keys it does not know are passed over.
 func ParseSettings(text string) (logic.Settings, error) {
 	s := settings{pairs: map[string]string{}}
@@ -114,6 +116,9 @@
 		StartCapacity: s.number("rules.startCapacity"), Cold: s.seconds("rules.cold"), Fall: s.seconds("rules.fall"),
 		FallMultiple: s.number("rules.fallMultiple"), DrainGrace: s.seconds("rules.drainGrace"),
 	}
+	if s.err == nil && (out.Gateways < 1 || out.Gateways > mostGateways) { // every share is by this number
+		s.bad("balancers", s.pairs["balancers"])
+	}
 	out.ZoneNames = s.words("zones")
 	if kinds := s.optional("skus"); kinds != "" {
 		out.KindNames = strings.Split(kinds, ",")
