Ticks look only at the firms that something is due for

Change: internal/due, a heap in which each firm stands once, by the next time that something is due for it: the end of its interval, a reread of sums, a held request at every tick, else the moment it is forgotten. A quiet firm, whose intervals' ends change nothing, is not looked at; its intervals are made up for when it asks again. A change of plans reaches firms a thousand a tick, from the moment it came; what was not taken up before the next change is taken up then.

--- /dev/null
+++ b/internal/due/due_test.go
@@ -0,0 +1,75 @@
+package due
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+type thing struct{ Place }
+
+func (t *thing) Due() *Place { return &t.Place }
+
+// Whatever is put in, moved and taken out, a queue gives what a plain list that is searched in full would.
+func TestAQueueIsAsAListSearchedInFull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q Queue[*thing]
+		all := make([]*thing, 40)
+		for k := range all {
+			all[k] = &thing{Place{Number: uint64(k)}}
+		}
+		at := map[*thing]time.Duration{}
+		t.Repeat(map[string]func(*rapid.T){
+			"set": func(t *rapid.T) {
+				x, when := rapid.SampledFrom(all).Draw(t, "thing"), time.Duration(rapid.IntRange(0, 99).Draw(t, "at"))
+				q.Set(x, when)
+				at[x] = when
+			},
+			"sooner": func(t *rapid.T) {
+				x, when := rapid.SampledFrom(all).Draw(t, "thing"), time.Duration(rapid.IntRange(0, 99).Draw(t, "at"))
+				q.Sooner(x, when)
+				if old, in := at[x]; !in || when < old {
+					at[x] = when
+				}
+			},
+			"remove": func(t *rapid.T) {
+				x := rapid.SampledFrom(all).Draw(t, "thing")
+				q.Remove(x)
+				delete(at, x)
+			},
+			"take": func(t *rapid.T) {
+				now := time.Duration(rapid.IntRange(0, 99).Draw(t, "now"))
+				var want []*thing
+				for _, x := range all {
+					if when, in := at[x]; in && when <= now {
+						want = append(want, x)
+						delete(at, x)
+					}
+				}
+				require.True(t, slices.Equal(want, q.Take(now)))
+			},
+			"": func(t *rapid.T) { require.Equal(t, len(at), q.Len()) },
+		})
+	})
+}
+
+func BenchmarkSetAndTake(b *testing.B) {
+	for _, n := range []int{100, 100_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			var q Queue[*thing]
+			for k := range n {
+				q.Set(&thing{Place{Number: uint64(k)}}, time.Duration(k))
+			}
+			b.ResetTimer()
+			for k := range b.N {
+				for _, x := range q.Take(time.Duration(k)) {
+					q.Set(x, time.Duration(k+n))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/logic/due_test.go
@@ -0,0 +1,125 @@
+package logic
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// A firm that nothing is due for is not looked at; that must decide nothing. The twin looks at every firm at every tick.
+func TestLookingOnlyAtFirmsThatAreDueDecidesTheSame(t *testing.T) {
+	for _, gateways := range []int{1, 3, 80} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%d gateways, seed %d", gateways, seed), func(t *testing.T) { twins(t, gateways, seed) })
+		}
+	}
+}
+
+func twins(t *testing.T, gateways int, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	set := testSettings()
+	set.Gateways, set.MaxAttempts = gateways, 2
+	book := &figures{plan: set.Plans[0]}
+	var pair [2]*Gateway
+	for k := range pair {
+		pair[k] = New(set, 1)
+		if seed%2 == 1 {
+			pair[k].Use(book, nil)
+		}
+	}
+	now, id := 3*time.Second, uint64(0)
+	type later struct {
+		at time.Duration
+		ev Event
+	}
+	var todo []later
+	sent := map[uint64]int{}
+	handle := func(ev Event) {
+		if timer, ok := ev.(Timer); ok && timer.Token == tickToken {
+			for _, c := range pair[1].customers {
+				pair[1].firms.Set(c, now)
+			}
+		}
+		acts := pair[0].Handle(now, ev)
+		if twin := pair[1].Handle(now, ev); !slices.Equal(acts, twin) {
+			t.Fatalf("at %v, %T: %v, but looking at all firms %v", now, ev, acts, twin)
+		}
+		for _, a := range acts {
+			after := time.Duration(rng.IntN(200)) * ms
+			switch a := a.(type) {
+			case SetTimer:
+				todo = append(todo, later{now + a.After, Timer{a.Token}})
+			case Send:
+				status := []Status{OK, OK, OK, OK, Full, Error}[rng.IntN(6)]
+				todo = append(todo, later{now + after, Outcome{ID: a.ID, Attempt: sent[a.ID], Server: a.Server, Status: status, Closed: status == OK}})
+				sent[a.ID]++
+			case Count:
+				e := CountResult{Name: a.Name, Total: a.Amount * float64(1+rng.IntN(3)), Latency: after / 5, Status: []Status{OK, OK, OK, OK, Full, Timeout}[rng.IntN(6)]}
+				todo = append(todo, later{now + after/5, e})
+			}
+		}
+	}
+	handle(ServerList{Whole: true, Servers: ready(4)})
+	end := now + 100*time.Second // firms are forgotten in it, too
+	for now < end {
+		next := 0
+		for k := range todo {
+			if todo[k].at < todo[next].at {
+				next = k
+			}
+		}
+		at := now + time.Duration(rng.ExpFloat64()*float64(4*ms))
+		if now%(40*time.Second) > 25*time.Second { // a rest
+			at = now + time.Hour
+		}
+		if todo[next].at <= at {
+			ev := todo[next]
+			todo = slices.Delete(todo, next, next+1)
+			now = max(now, ev.at)
+			handle(ev.ev)
+			continue
+		}
+		id++
+		now = at
+		class := rng.IntN(len(set.Classes))
+		firm := uint64(rng.ExpFloat64() * 20) // few ask much
+		handle(Request{ID: id, Customer: firm, Plan: int(firm) % len(set.Plans), Class: class, Units: 1 + float64(rng.IntN(3)),
+			TTL: set.Classes[class].Deadline, Spread: gateways})
+		if seed%2 == 1 && rng.IntN(800) == 0 {
+			book.plan.Rate = float64(5 + rng.IntN(60))
+			book.plan.Burst = book.plan.Rate * (0.5 + rng.Float64())
+			handle(PlansChanged{})
+		}
+	}
+	if len(sent) < 1000 {
+		t.Errorf("only %d of %d requests were sent: this shows little", len(sent), id)
+	}
+}
+
+// A hundred thousand firms that asked once are not looked at by the ticks, and are forgotten in the end.
+func TestQuietFirmsCostNoTicks(t *testing.T) {
+	g := New(testSettings(), 1)
+	now := time.Second
+	ticks := func(d time.Duration) {
+		for end := now + d; now < end; now += tick {
+			g.Handle(now, Timer{tickToken})
+		}
+	}
+	g.Handle(now, ServerList{Whole: true, Servers: ready(4)})
+	for k := range uint64(100_000) {
+		for _, a := range g.Handle(now, Request{ID: k, Customer: k, Units: 1, TTL: time.Second, Spread: 3}) {
+			if s, ok := a.(Send); ok {
+				g.Handle(now, Outcome{ID: k, Server: s.Server, Status: OK, Closed: true})
+			}
+		}
+		if k%100 == 99 {
+			ticks(tick)
+		}
+	}
+	ticks(5 * time.Second)
+	if n := len(g.firms.Take(now + time.Second)); n != 0 || len(g.customers) != 100_000 {
+		t.Errorf("%d looks in a second at %d firms that are quiet", n, len(g.customers))
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,7 +97,9 @@
 func (g *Gateway) everyTick() {
 	g.do(SetTimer{tickToken, tick})
 	g.rollCustomers()
-	g.watchServers()
+	for _, f := range g.fleets {
+		g.watchFleet(f)
+	}
 	g.dispatch()
 	if g.now-g.second < time.Second {
 		return
@@ -108,7 +110,6 @@
 	}
 	g.second = g.now
 	maps.DeleteFunc(g.loads, func(_ uint64, w word) bool { return g.now > w.until })
-	g.forget(func(c *customer) bool { return g.now-c.seen > idle && len(c.held) == 0 && c.out == 0 })
 }
 
 // ---- requests and answers
@@ -241,10 +242,11 @@
 		c.level = c.store()
 		// A fresh gateway may be a restarted one: its store of the ceiling has only its part of the slack.
 		c.ceiling = 0.9 * p.CeilingSlack / c.n
-		g.customers[r.Customer] = c
-		g.order = append(g.order, c)
+		g.add(c)
 	}
+	g.current(c)
 	g.refigure(c)
+	g.firms.Sooner(c, c.ends())
 	c.seen = g.now
 	return c
 }
@@ -274,28 +276,28 @@
 
 // rollCustomers ends intervals: it makes the forecast and tells it where it matters.
 func (g *Gateway) rollCustomers() {
-	for _, c := range g.order {
-		if g.replanned {
-			g.refigure(c)
+	g.sweep()
+	g.ticked = g.now
+	for _, c := range g.firms.Take(g.now) {
+		if g.now-c.seen > idle && len(c.held) == 0 && c.out == 0 {
+			delete(g.customers, c.id)
+			continue
 		}
-		if n := c.interval(g.now); n != c.number {
-			c.roll(int(min(n-c.number, 100)))
-			c.unseen = 0
-			c.number = n
+		g.refigure(c)
+		if g.current(c) {
 			g.tell(c)
 		}
-		if c.readAt > 0 && g.now >= c.readAt {
-			if c.readAt = 0; c.told > 0 {
-				g.count(c, sums, 0, nil)
-			} else {
-				g.tell(c)
-			}
+		if again := c.readAt > 0 && g.now >= c.readAt; again && c.told > 0 {
+			c.readAt = 0
+			g.count(c, sums, 0, nil)
+		} else if again {
+			g.tell(c)
 		}
 		if len(c.held) > 0 {
 			g.letCustomer(c)
 		}
+		g.await(c)
 	}
-	g.replanned = false
 }
 
 // roll makes the forecast: last demand plus the smoothed change plus a cushion of the smoothed rises.
@@ -354,6 +356,7 @@
 		delete(g.calls, e.Name)
 	}
 	c, r := waiting[0].cust, waiting[0].req
+	g.current(c)
 	if e.Status != OK {
 		// Fewer calls to a counter in trouble, none for a while to a silent or full one; no crowd afterwards. A
 		// connection that broke or brought noise says nothing of the counter.
@@ -369,10 +372,11 @@
 			}
 		}
 		if waiting[0].told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
-			c.readAt = g.now + max(g.set.CounterLimit, 3*tick)
+			after := max(g.set.CounterLimit, 3*tick)
 			if e.Status == Full { // it was not, so it is told again
-				c.told, c.readAt = 0, g.now+time.Duration(g.random()*float64(lateSums)/max(g.calling, crowded))
+				c.told, after = 0, time.Duration(g.random()*float64(lateSums)/max(g.calling, crowded))
 			}
+			g.reread(c, after)
 		}
 		g.note("counter", fmt.Sprintf("a call failed (%d), even parts meanwhile", e.Status))
 		if r != nil {
@@ -394,7 +398,7 @@
 		first := c.readAt == 0 && c.part == c.even()
 		complete := g.divide(c, e.Total)
 		if first && !complete && c.forecast > c.even() {
-			c.readAt = g.now + max(g.set.CounterLimit, 3*tick) // the others have told by then
+			g.reread(c, max(g.set.CounterLimit, 3*tick)) // the others have told by then
 		}
 	case what == use && waiting[0].figured != c.figured: // counted under other figures: it says nothing of these
 		if r != nil {
@@ -514,7 +518,7 @@
 		return
 	}
 	r.cust.release = g.now + wait
-	r.cust.held = append(r.cust.held, r)
+	g.hold(r)
 }
 
 // ---- tickets
@@ -623,7 +627,7 @@
 	}
 	waits := func(h *request) bool { return h.class.Worth >= r.class.Worth }
 	if c.ticketed {
-		c.held = append(c.held, r)
+		g.hold(r)
 		g.letCustomer(c)
 		return
 	}
@@ -639,7 +643,7 @@
 		g.finish(r, wait) // no chance in time: refused at once
 		return
 	}
-	c.held = append(c.held, r)
+	g.hold(r)
 }
 
 // holdTime guesses how long a request will be held.
@@ -779,13 +783,7 @@
 	return g.blind == 0 && s.cold >= 1 || g.blind > 0 && r.luck*float64(among) < w*coldMargin
 }
 
-// watchServers looks for silence, and keeps the budgets of cold servers.
-func (g *Gateway) watchServers() {
-	for _, f := range g.fleets {
-		g.watchFleet(f)
-	}
-}
-
+// watchFleet looks for silence, and keeps the budgets of cold servers.
 func (g *Gateway) watchFleet(f *fleet) {
 	warm := 0
 	f.busy, f.usable, f.power = 0, 0, 0
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -295,7 +295,11 @@
 			t.Fatal(err)
 		}
 		for _, imp := range parsed.Imports {
-			if path := strings.Trim(imp.Path.Value, `"`); strings.Contains(path, "bramblefall") || strings.Contains(path, ".") {
+			path := strings.Trim(imp.Path.Value, `"`)
+			if path == "bramblefall/internal/due" { // a structure, which decides nothing
+				continue
+			}
+			if strings.Contains(path, "bramblefall") || strings.Contains(path, ".") {
 				t.Errorf("%s imports %s", f.Name(), path)
 			}
 		}
--- a/logic/many_test.go
+++ b/logic/many_test.go
@@ -196,7 +196,7 @@
 			if fullEvery > 0 && k%fullEvery == 0 {
 				st = Full
 			}
-			b.g.calls[1] = append(b.g.calls[1], call{cust: &customer{n: 2}})
+			b.g.calls[1] = append(b.g.calls[1], call{cust: &customer{n: 2, span: time.Second}})
 			b.handle(CountResult{Name: 1, Status: st})
 		}
 	}
--- a/logic/plans.go
+++ b/logic/plans.go
@@ -29,7 +29,7 @@
 // InUse counts the firms known here by the tier that their requests name; tiers are those of the book by name.
 func (g *Gateway) InUse(tiers map[string]int) func(tier string) int {
 	firms := map[int]int{}
-	for _, c := range g.order {
+	for _, c := range g.customers {
 		firms[c.tier]++
 	}
 	return func(tier string) int {
@@ -41,18 +41,36 @@
 	}
 }
 
-// replan takes up a change of plans. Firms with requests held are looked at now, the others when they are next.
+// replan takes up a change of plans. Firms with requests held are looked at now, the others when they are next or in the
+// ticks to come, a part in each: what nobody took up of one change is before the next.
 func (g *Gateway) replan() {
+	for _, c := range g.stale {
+		g.refigure(c)
+	}
 	g.figured++
-	g.replanned = true
-	for _, c := range g.order {
+	g.changed = g.now
+	for _, c := range g.firms.Take(g.now) {
 		if len(c.held) > 0 {
 			g.refigure(c)
 		}
+		g.firms.Sooner(c, g.now)
 	}
+	g.stale = g.firms.All()
 	g.dispatch()
 }
 
+const mostSwept = 1000 // firms that take up a change in one tick
+
+func (g *Gateway) sweep() {
+	n := min(mostSwept, len(g.stale))
+	for _, c := range g.stale[:n] {
+		g.refigure(c)
+	}
+	if g.stale = g.stale[n:]; len(g.stale) == 0 {
+		g.stale = nil
+	}
+}
+
 // refigure carries a firm over to the figures in force, if they are others. What is spent stays spent: a store is cut
 // to a lowered burst and not filled by a raised one, and one that there was not before begins empty, so that no sequence
 // of changes gives a firm what it would not have had.
@@ -65,7 +83,8 @@
 	if !known || p == c.plan {
 		return
 	}
-	c.fill(g.now)
+	g.current(c)
+	c.fill(max(c.filled, g.changed))
 	if c.plan.Rate <= 0 {
 		c.level = 0
 	}
@@ -76,6 +95,9 @@
 	c.told, c.readAt, c.shut = 0, 0, 0 // counts of the old figures say nothing of these
 	c.credit, c.stamp = 0, stamp{}
 	c.release = min(c.release, g.now) // the pace was the old part's
+	if g.customers[c.id] == c {
+		g.firms.Sooner(c, c.ends())
+	}
 	g.reconsider(c)
 }
 
@@ -88,7 +110,7 @@
 			g.finish(r, wait)
 			continue
 		}
-		c.held = append(c.held, r)
+		g.hold(r)
 	}
 	if len(c.held) > 0 {
 		g.letCustomer(c)
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -313,7 +313,7 @@
 		t.Errorf("left behind: %d requests, %d tokens, %d queued, %d out", len(g.requests), len(g.tokens), len(g.queue), out)
 	}
 	b.run(idle+2*time.Second, nil)
-	if g := b.g; len(g.customers) != 0 || len(g.order) != 0 {
+	if g := b.g; len(g.customers) != 0 || g.firms.Len() != 0 {
 		t.Errorf("%d customers kept after a minute's rest", len(g.customers))
 	}
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"bramblefall/internal/due"
 )
 
 // The records that the decisions in logic.go work on, and helpers that decide nothing.
@@ -35,6 +37,7 @@
 }
 
 type customer struct {
+	due.Place
 	id                      uint64
 	plan                    Plan
 	tier, figured           int           // its tier's number; the change that plan is from
@@ -139,10 +142,11 @@
 // Gateway holds what one gateway knows.
 type Gateway struct {
 	set                Settings
-	book               Book     // nil: the settings' plans stay
-	reserves           Reserves // nil: there are none
-	figured            int      // changes of plans so far
-	replanned          bool     // since the last tick: not all firms have taken up the last one
+	book               Book          // nil: the settings' plans stay
+	reserves           Reserves      // nil: there are none
+	figured            int           // changes of plans so far
+	changed, ticked    time.Duration // the last of these; the last tick
+	stale              []*customer   // not all of these have taken up the last change
 	rng                uint64
 	now                time.Duration
 	blind              float64 // share of the fleet's work that is not seen here, as far as it matters
@@ -152,7 +156,8 @@
 	tokens             map[uint32]*request
 	nextToken          uint32
 	customers          map[uint64]*customer
-	order              []*customer // of customers: a map's order must not reach an action
+	firms              due.Queue[*customer] // each customer by the time when something is due for it
+	numbered           uint64               // customers so far
 	servers            map[ServerID]*server
 	*fleet             // of group 0, the only one in the simulator
 	fleets             []*fleet
@@ -485,12 +490,57 @@
 	}
 }
 
-// forget drops the records of customers that are over.
-func (g *Gateway) forget(over func(*customer) bool) {
-	for _, c := range g.order {
-		if over(c) {
-			delete(g.customers, c.id)
-		}
+// Due is a customer's place among those that something is due for.
+func (c *customer) Due() *due.Place { return &c.Place }
+
+func (g *Gateway) add(c *customer) {
+	g.numbered++
+	c.Number = g.numbered // a map's order must not reach an action
+	g.customers[c.id] = c
+}
+
+// current ends the intervals that were over at the last tick, and tells whether there were any. Of a quiet firm they are
+// made up for when it is next looked at.
+func (g *Gateway) current(c *customer) bool {
+	n := c.interval(g.ticked)
+	if n <= c.number {
+		return false
+	}
+	c.roll(int(min(n-c.number, 100)))
+	c.unseen, c.number = 0, n
+	return true
+}
+
+// quietly tells whether the ends of a firm's intervals change nothing: it tells no forecast and has the even part, and
+// without requests that stays so.
+func (c *customer) quietly() bool {
+	even := c.even()
+	return c.asked == 0 && c.unseen == 0 && c.told == 0 && c.readAt == 0 && c.part == even && (c.forecast < quiet*even || even <= 0)
+}
+
+// await sets when a firm is looked at next.
+func (g *Gateway) await(c *customer) {
+	at := max(c.seen+idle+1, g.now+1) // it is forgotten then
+	if !c.quietly() {
+		at = min(at, c.ends())
+	}
+	if c.readAt > 0 {
+		at = min(at, c.readAt)
+	}
+	if len(c.held) > 0 {
+		at = g.now
 	}
-	g.order = slices.DeleteFunc(g.order, over)
+	g.firms.Set(c, at)
+}
+
+// hold keeps a request; its firm is looked at each tick.
+func (g *Gateway) hold(r *request) {
+	r.cust.held = append(r.cust.held, r)
+	g.firms.Sooner(r.cust, g.now)
+}
+
+// reread sets when a firm's sums are read again.
+func (g *Gateway) reread(c *customer, after time.Duration) {
+	c.readAt = g.now + after
+	g.firms.Sooner(c, c.readAt)
 }
