Sums over servers are kept, and a long list is looked at in part

Change: the usable servers, their attempts and warm ones are counted by zone as they change; cold ones and those with attempts out stand in lists of their own; a list of few changes is merged, not sorted anew; without room nobody looks for a server; of more than a hundred servers a hundred in a row from a random one are looked at. Fleets of up to a hundred servers decide as before, but for draws of luck.

A test walks over all servers after each event and compares.

--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -1,7 +1,10 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -61,7 +64,8 @@
 			}
 		}
 	}
-	handle(ServerList{Whole: true, Servers: ready(4)})
+	list := ready(12)
+	handle(ServerList{Whole: true, Servers: list})
 	end := now + 100*time.Second // firms are forgotten in it, too
 	for now < end {
 		next := 0
@@ -87,6 +91,23 @@
 		firm := uint64(rng.ExpFloat64() * 20) // few ask much
 		handle(Request{ID: id, Customer: firm, Plan: int(firm) % len(set.Plans), Class: class, Units: 1 + float64(rng.IntN(3)),
 			TTL: set.Classes[class].Deadline, Spread: gateways})
+		if k := rng.IntN(len(list)); rng.IntN(30) == 0 {
+			was := list[k]
+			list[k].State, list[k].Zone = []ServerState{Ready, Ready, Draining, Gone}[rng.IntN(4)], rng.IntN(2)
+			if rng.IntN(2) == 0 {
+				list[k].Started = now
+			}
+			switch rng.IntN(4) {
+			case 0:
+				handle(ServerList{Whole: true, Servers: list})
+			case 1: // nothing new
+				list[k] = was
+				handle(ServerList{})
+			default:
+				handle(ServerList{Servers: list[k : k+1]})
+			}
+		}
+		checkSums(t, pair[0])
 		if seed%2 == 1 && rng.IntN(800) == 0 {
 			book.plan.Rate = float64(5 + rng.IntN(60))
 			book.plan.Burst = book.plan.Rate * (0.5 + rng.Float64())
@@ -98,6 +119,47 @@
 	}
 }
 
+// checkSums holds what is kept of servers against a walk over all of them.
+func checkSums(t *testing.T, g *Gateway) {
+	f := g.fleet
+	var busy, usable, power float64
+	var list, working, cold []*server
+	for _, id := range slices.Sorted(maps.Keys(g.servers)) {
+		s := g.servers[id]
+		if len(s.work) > 0 {
+			working = append(working, s)
+		}
+		if !s.listed {
+			if s.out == 0 {
+				t.Fatalf("server %d is gone and kept", s.ID)
+			}
+			continue
+		}
+		if list = append(list, s); s.State == Ready && !s.ejected && !f.lost(s.Zone, g.now) {
+			busy, usable, power = busy+float64(s.out), usable+1, power+max(g.warmth(s), 1-g.blind)
+		}
+		if !s.warm && s.Started+g.set.Cold <= g.ticked {
+			t.Fatalf("server %d is warm and still counted as cold", s.ID)
+		}
+		if !s.warm {
+			cold = append(cold, s)
+		}
+	}
+	was := [...]float64{f.busy, f.usable, f.power}
+	f.count(g)
+	is := [...]float64{f.busy, f.usable, f.power}
+	f.busy, f.usable, f.power = was[0], was[1], was[2]
+	if is[0] != busy || is[1] != usable || math.Abs(is[2]-power) > 1e-9 {
+		t.Fatalf("kept: %v busy, %v usable, %v power; a walk: %v, %v, %v", is[0], is[1], is[2], busy, usable, power)
+	}
+	near := slices.Clone(f.near)
+	slices.SortFunc(near, byID)
+	if !slices.Equal(f.list, list) || !slices.Equal(near, list) || !slices.Equal(f.working, working) || !slices.Equal(f.cold, cold) ||
+		!slices.IsSortedFunc(f.near, func(a, b *server) int { return cmp.Compare(g.distance(a), g.distance(b)) }) {
+		t.Fatal("the lists of servers are not those of a walk")
+	}
+}
+
 // A hundred thousand firms that asked once are not looked at by the ticks, and are forgotten in the end.
 func TestQuietFirmsCostNoTicks(t *testing.T) {
 	g := New(testSettings(), 1)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -62,6 +62,7 @@
 	coldMargin            = 0.8                          // of a warm server's load, by capacity
 	ownView               = 4.0                          // gateways up to which a gateway's own view is enough
 	nearest, candidates   = 10, 3                        // servers that one of many keeps to; drawn of these
+	mostLooked            = 100                          // servers that are looked at for one attempt
 	logEvery              = 5 * time.Second              // between two log lines of the same kind
 
 	tickToken                       = 0          // requests' tokens start above
@@ -190,12 +191,12 @@
 		return
 	}
 	s := r.server
-	r.server = nil
-	s.out--
-	if !s.ejected {
+	if r.server = nil; !s.ejected {
 		r.fleet.busy--
 	}
-	s.work = without(s.work, r)
+	if s.off(r); s.out == 0 && !s.listed {
+		delete(g.servers, s.ID)
+	}
 	g.judge(s, r, o)
 	neverRan := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
 	if !neverRan && !r.ran {
@@ -762,18 +763,7 @@
 		s.Server = e
 		s.listed = e.State != Gone
 	}
-	f.list = f.list[:0]
-	for _, id := range slices.Sorted(maps.Keys(g.servers)) {
-		if s := g.servers[id]; s.fleet != f {
-			continue
-		} else if s.listed {
-			f.list = append(f.list, s)
-		} else if s.State = Gone; s.out == 0 {
-			delete(g.servers, id)
-		}
-	}
-	f.near = slices.Clone(f.list)
-	slices.SortFunc(f.near, func(a, b *server) int { return cmp.Compare(g.distance(a), g.distance(b)) })
+	g.enlist(f, l)
 	g.dispatch()
 }
 
@@ -785,21 +775,17 @@
 
 // watchFleet looks for silence, and keeps the budgets of cold servers.
 func (g *Gateway) watchFleet(f *fleet) {
-	warm := 0
-	f.busy, f.usable, f.power = 0, 0, 0
-	for _, s := range f.list {
-		if s.State == Ready && !s.ejected && !f.lost(s.Zone, g.now) {
-			f.busy += float64(s.out)
-			f.usable++
-			f.power += max(g.warmth(s), 1-g.blind)
-		}
-		if w := g.warmth(s); w < 1 {
-			rate := f.sendRate * w * coldMargin
-			s.cold = min(s.cold+rate*(g.now-s.coldAt).Seconds(), 1+0.2*rate*g.set.Fall.Seconds())
-			s.coldAt = g.now
-		} else if !s.ejected && s.State == Ready {
-			warm++
+	for k := len(f.cold) - 1; k >= 0; k-- {
+		s := f.cold[k]
+		w := g.warmth(s)
+		rate := f.sendRate * w * coldMargin
+		s.cold = min(s.cold+rate*(g.now-s.coldAt).Seconds(), 1+0.2*rate*g.set.Fall.Seconds())
+		if s.coldAt = g.now; w >= 1 {
+			g.recount(s)
 		}
+	}
+	warm := f.count(g)
+	for _, s := range f.working {
 		g.checkSilence(s)
 	}
 	dt := tick.Seconds()
@@ -810,7 +796,7 @@
 
 // checkSilence ejects a server whose attempts stay unanswered for far longer than usual, whatever the cause.
 func (g *Gateway) checkSilence(s *server) {
-	if s.ejected || len(s.work) == 0 {
+	if s.ejected || !s.listed {
 		return
 	}
 	var waited float64
@@ -831,6 +817,7 @@
 
 func (g *Gateway) eject(s *server, why string) {
 	s.ejected, s.trial = true, false
+	g.recount(s)
 	s.until = g.now + time.Duration(float64(s.backoff)*(1+rareTrials*g.blind)) // each of many tries it anew
 	s.backoff = min(2*s.backoff, lastEject)
 	g.note("server", fmt.Sprintf("%x left out (%s)", s.ID, why))
@@ -849,6 +836,7 @@
 		s.fails -= healthStep * s.fails
 		if s.ejected {
 			s.ejected, s.trial, s.fails = false, false, sick*0.8
+			g.recount(s)
 		} else if s.fails < 0.05 {
 			s.backoff = firstEject
 		}
@@ -954,9 +942,9 @@
 	if r.attempts == 0 {
 		f.retries = min(f.retries+retryEarn, retryMost)
 	}
-	r.attempts, s.out = r.attempts+1, s.out+1
+	r.attempts++
 	f.busy, f.sends, f.room = f.busy+1, f.sends+1, f.room-1
-	s.work = append(s.work, r)
+	s.on(r)
 	if s.ejected {
 		s.trial, s.until = true, g.now+s.backoff
 	}
@@ -975,7 +963,7 @@
 func (g *Gateway) choose(r *request) (best *server) {
 	if f := r.fleet; g.blind > 0 && len(f.list) > candidates {
 		near := make([]*server, 0, nearest)
-		for _, s := range f.near {
+		for _, s := range f.near[:min(len(f.near), mostLooked)] {
 			if s.State == Ready && !f.lost(s.Zone, g.now) && (!s.ejected || g.trialDue(r, s)) {
 				if near = append(near, s); len(near) == nearest {
 					break
@@ -991,8 +979,8 @@
 		}
 		best = g.best(r, few, true)
 	}
-	if best == nil {
-		best = g.best(r, r.fleet.list, false)
+	if best == nil && g.hasRoom(r.fleet) {
+		best = g.best(r, g.window(r), false)
 	}
 	return best
 }
