--- a/logic/state.go
+++ b/logic/state.go
@@ -267,6 +267,8 @@
 	}
 }
 
+const enough = 16 // usable servers of a long list: the best of so many is hardly worse than the best of all
+
 // window is the servers that are looked at for a request: all, or a part of a long list. A repeat that few servers may
 // take needs all of them.
 func (g *Gateway) window(r *request) []*server {
@@ -275,8 +277,12 @@
 		return list
 	}
 	part := make([]*server, 0, mostLooked)
-	for k := int(g.random() * float64(len(list))); len(part) < mostLooked; k++ {
-		part = append(part, list[k%len(list)])
+	from, usable := int(g.random()*float64(len(list))), 0
+	for k := 0; k < mostLooked && usable < enough; k++ {
+		s := list[(from+k)%len(list)]
+		if part = append(part, s); s.hall != nil {
+			usable++
+		}
 	}
 	return part
 }
