Quiet firms rest in some bytes instead of whole records

Change: a firm that is quiet, with nothing under way, leaves its record for a compact one of 56 bytes with its stores, pace and forecast as they were; asked again, it goes on from there as if it had been kept whole. Two generations forget it after one to two minutes. A change of plans since only takes from it: a store is cut to the new burst and filled from the change on, and after two changes it is empty, since what lay between is not known.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,7 +85,7 @@
 	g := &Gateway{set: s, blind: blind, rng: seed,
 		requests: map[uint64]*request{}, tokens: map[uint32]*request{},
 		customers: map[uint64]*customer{}, servers: map[ServerID]*server{}, calls: map[uint64][]call{}, units: 1,
-		loads: map[uint64]word{}, logged: map[string]time.Duration{},
+		resting: map[uint64]rest{}, loads: map[uint64]word{}, logged: map[string]time.Duration{},
 		guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, calling: 1 / (1 + 2*blind),
 		dearest: priceOf(s.Plans), backoff: 500 * ms,
 		longest: make([]time.Duration, len(s.Classes))}
@@ -244,11 +244,12 @@
 		// A fresh gateway may be a restarted one: its store of the ceiling has only its part of the slack.
 		c.ceiling = 0.9 * p.CeilingSlack / c.n
 		g.add(c)
+		g.wake(c)
 	}
 	g.current(c)
 	g.refigure(c)
 	g.firms.Sooner(c, c.ends())
-	c.seen = g.now
+	c.seen, c.open = g.now, c.open+1
 	return c
 }
 
@@ -279,11 +280,8 @@
 func (g *Gateway) rollCustomers() {
 	g.sweep()
 	g.ticked = g.now
+	g.turn()
 	for _, c := range g.firms.Take(g.now) {
-		if g.now-c.seen > idle && len(c.held) == 0 && c.out == 0 {
-			delete(g.customers, c.id)
-			continue
-		}
 		g.refigure(c)
 		if g.current(c) {
 			g.tell(c)
@@ -297,7 +295,9 @@
 		if len(c.held) > 0 {
 			g.letCustomer(c)
 		}
-		g.await(c)
+		if !g.rest(c) {
+			g.await(c)
+		}
 	}
 }
 
--- a/logic/plans.go
+++ b/logic/plans.go
@@ -32,6 +32,11 @@
 	for _, c := range g.customers {
 		firms[c.tier]++
 	}
+	for _, list := range []map[uint64]rest{g.resting, g.rested} {
+		for _, r := range list {
+			firms[int(r.tier)]++
+		}
+	}
 	return func(tier string) int {
 		n, ok := tiers[tier]
 		if !ok {
--- a/logic/state.go
+++ b/logic/state.go
@@ -56,7 +56,7 @@
 	seen, filled            time.Duration
 	level, part, ceiling    float64 // the local store; part: units a second, or attempts out
 	held                    []*request
-	out                     int
+	out, open               int           // attempts out; requests not over yet
 	release                 time.Duration // the next held request leaves no earlier
 	rate, excess            float64       // S and E
 	asked, last             float64       // demand of this interval and the one before
@@ -306,6 +306,8 @@
 	customers          map[uint64]*customer
 	firms              due.Queue[*customer] // each customer by the time when something is due for it
 	numbered           uint64               // customers so far
+	resting, rested    map[uint64]rest      // customers that are quiet: of late, and those before
+	turned             time.Duration        // the last time that those before were forgotten
 	servers            map[ServerID]*server
 	*fleet             // of group 0, the only one in the simulator
 	fleets             []*fleet
@@ -617,6 +619,7 @@
 			g.giveBack(r)
 		}
 		delete(g.requests, r.ID)
+		r.cust.open--
 	}
 }
 
@@ -669,8 +672,10 @@
 // await sets when a firm is looked at next.
 func (g *Gateway) await(c *customer) {
 	at := max(c.seen+idle+1, g.now+1) // it is forgotten then
-	if !c.quietly() {
+	if !c.quietly() || c.last > 0 {
 		at = min(at, c.ends())
+	} else if c.idly(g) {
+		at = min(at, c.ends()) // it rests then
 	}
 	if c.readAt > 0 {
 		at = min(at, c.readAt)
@@ -692,3 +697,66 @@
 	c.readAt = g.now + after
 	g.firms.Sooner(c, c.readAt)
 }
+
+// rest is what is kept of a quiet customer, in a tenth of the memory: asked again, it goes on as if it had been kept whole.
+type rest struct {
+	number                                            int64
+	filled                                            time.Duration
+	level, ceiling, excess, rate, drift, spread, best float32
+	tier, figured                                     int32
+	order                                             uint32 // Number
+}
+
+// idly tells whether nothing of a customer is under way and no more is known of it than a rest keeps.
+func (c *customer) idly(g *Gateway) bool {
+	return c.open == 0 && c.out == 0 && len(c.held) == 0 && !c.asking && g.now >= max(c.release, c.shut, c.blind) &&
+		(!c.ticketed || c.stamp.at == 0 || g.now-c.stamp.at > stampLasts && !c.stamp.known(g.now, c.plan)) &&
+		(c.credit == 0 || g.now > c.due+c.span)
+}
+
+// rest puts a customer to rest if it is quiet. It tells whether the customer's record is gone.
+func (g *Gateway) rest(c *customer) bool {
+	if g.now-c.seen > idle && len(c.held) == 0 && c.out == 0 {
+		delete(g.customers, c.id)
+		return true
+	}
+	if g.resting == nil || !c.quietly() || c.last > 0 || c.figured != g.figured || !c.idly(g) {
+		return false
+	}
+	delete(g.customers, c.id)
+	g.resting[c.id] = rest{c.number, c.filled, float32(c.level), float32(c.ceiling), float32(c.excess), float32(c.rate),
+		float32(c.drift), float32(c.spread), float32(c.best), int32(c.tier), int32(c.figured), uint32(c.Number)}
+	return true
+}
+
+// wake gives a new customer what is kept of it from before. A change of plans since can only take from it: what it
+// would have had between two of them is not known.
+func (g *Gateway) wake(c *customer) {
+	r, ok := g.resting[c.id]
+	if !ok {
+		if r, ok = g.rested[c.id]; !ok {
+			return
+		}
+	}
+	delete(g.resting, c.id)
+	delete(g.rested, c.id)
+	changes := g.figured - int(r.figured)
+	if changes > 1 {
+		r.level, r.ceiling = 0, min(r.ceiling, 0)
+	}
+	c.level, c.ceiling = min(float64(r.level), c.store()), min(float64(r.ceiling), c.plan.CeilingBurst/c.n)
+	c.Number, c.filled, c.best = uint64(r.order), r.filled, float64(r.best)
+	if changes > 0 {
+		c.filled = max(r.filled, g.changed)
+		return
+	}
+	c.number, c.intervals = r.number, 1
+	c.excess, c.rate, c.drift, c.spread = float64(r.excess), float64(r.rate), float64(r.drift), float64(r.spread)
+}
+
+// turn forgets those that have rested for long.
+func (g *Gateway) turn() {
+	if g.resting != nil && g.now-g.turned > idle {
+		g.turned, g.rested, g.resting = g.now, g.resting, map[uint64]rest{}
+	}
+}
