What waits for a server is kept in order, not sorted at every event

Change: a request is put in by its worth, a further attempt before others of its worth, as the stable sort had it; the walk over the queue, which answers what is given up on, reuses the slice.

--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -153,6 +153,9 @@
 	if is[0] != busy || is[1] != usable || math.Abs(is[2]-power) > 1e-9 {
 		t.Fatalf("kept: %v busy, %v usable, %v power; a walk: %v, %v, %v", is[0], is[1], is[2], busy, usable, power)
 	}
+	if !slices.IsSortedFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.worth(), a.worth()) }) {
+		t.Fatal("what waits for a server is not in order")
+	}
 	near := slices.Clone(f.near)
 	slices.SortFunc(near, byID)
 	if !slices.Equal(f.list, list) || !slices.Equal(near, list) || !slices.Equal(f.working, working) || !slices.Equal(f.cold, cold) ||
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,6 @@
 package logic
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -216,7 +215,7 @@
 			r.fleet.retries, r.fleet.room = r.fleet.retries+1-unrun, r.fleet.room+1
 		}
 		r.ready = true
-		g.queue = append([]*request{r}, g.queue...)
+		g.enqueue(r, true)
 	}
 	g.letCustomer(r.cust)
 	g.dispatch()
@@ -697,7 +696,7 @@
 		g.drop(r)
 		return
 	}
-	g.queue = append(g.queue, r)
+	g.enqueue(r, false)
 	g.dispatch()
 }
 
@@ -910,9 +909,8 @@
 
 // dispatch sends waiting requests, dearest and then oldest first, while servers have room.
 func (g *Gateway) dispatch() {
-	var kept, late []*request
-	full := map[*fleet]bool{}
-	slices.SortStableFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.worth(), a.worth()) })
+	var late []*request
+	kept, full := g.queue[:0], map[*fleet]bool{}
 	for _, r := range g.queue {
 		var s *server
 		if g.windowClosed(r) || g.tooLate(r, g.now) {
@@ -929,6 +927,7 @@
 		full[r.fleet] = full[r.fleet] || !r.ran
 		kept = append(kept, r)
 	}
+	clear(g.queue[len(kept):])
 	g.queue = kept
 	for _, r := range late {
 		g.finish(r, 0)
--- a/logic/state.go
+++ b/logic/state.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"sort"
 	"time"
 
 	"bramblefall/internal/due"
@@ -698,6 +699,16 @@
 	g.firms.Sooner(c, c.readAt)
 }
 
+// enqueue puts a request among those that wait for a server: the dearest first, a further attempt before others of its
+// worth.
+func (g *Gateway) enqueue(r *request, again bool) {
+	at := sort.Search(len(g.queue), func(k int) bool {
+		w := g.queue[k].worth()
+		return w < r.worth() || again && w == r.worth()
+	})
+	g.queue = slices.Insert(g.queue, at, r)
+}
+
 // rest is what is kept of a quiet customer, in a tenth of the memory: asked again, it goes on as if it had been kept whole.
 type rest struct {
 	number                                            int64
