--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -86,7 +86,9 @@
 			handle(ev.ev)
 			continue
 		}
-		id++
+		if id++; id%3000 == 0 {
+			at += 10 * time.Second // the process stalled
+		}
 		now = at
 		class := rng.IntN(len(set.Classes))
 		firm := uint64(rng.ExpFloat64() * 20) // few ask much
@@ -156,6 +158,9 @@
 	if !slices.IsSortedFunc(g.queue, func(a, b *request) int { return cmp.Compare(b.worth(), a.worth()) }) {
 		t.Fatal("what waits for a server is not in order")
 	}
+	if g.firms.Len() != len(g.customers) {
+		t.Fatalf("%d firms are looked at, %d are known", g.firms.Len(), len(g.customers))
+	}
 	near := slices.Clone(f.near)
 	slices.SortFunc(near, byID)
 	if !slices.Equal(f.list, list) || !slices.Equal(near, list) || !slices.Equal(f.working, working) || !slices.Equal(f.cold, cold) ||
@@ -194,6 +199,20 @@
 	}
 }
 
+// A firm that rests or is forgotten must not be looked at again: a second record of it would hold a second store.
+func TestAFirmAtRestIsLookedAtNoMore(t *testing.T) {
+	for _, after := range []time.Duration{0, 2 * idle} {
+		g := New(testSettings(), 1)
+		g.now = time.Hour
+		c := g.customer(&request{Request: Request{Customer: 7, Spread: 3}, plan: g.set.Plans[0]})
+		c.open = 0
+		g.now += after
+		if !g.rest(c) || len(g.customers) != 0 || g.firms.Len() != 0 {
+			t.Errorf("%v: %d known, %d are looked at", after, len(g.customers), g.firms.Len())
+		}
+	}
+}
+
 // A firm that rested has no more than one that was kept whole, whatever changes of plans it slept through.
 func TestRestGivesNothing(t *testing.T) {
 	for name, rates := range map[string][]float64{"none": nil, "raised": {300}, "lowered": {3}, "lowered and raised": {1, 30}, "raised and lowered": {300, 30}} {
--- a/logic/state.go
+++ b/logic/state.go
@@ -720,23 +720,23 @@
 
 // idly tells whether nothing of a customer is under way and no more is known of it than a rest keeps.
 func (c *customer) idly(g *Gateway) bool {
-	return c.open == 0 && c.out == 0 && len(c.held) == 0 && !c.asking && g.now >= max(c.release, c.shut, c.blind) &&
+	return c.open == 0 && !c.asking && g.now >= max(c.release, c.shut, c.blind) &&
 		(!c.ticketed || c.stamp.at == 0 || g.now-c.stamp.at > stampLasts && !c.stamp.known(g.now, c.plan)) &&
 		(c.credit == 0 || g.now > c.due+c.span)
 }
 
 // rest puts a customer to rest if it is quiet. It tells whether the customer's record is gone.
 func (g *Gateway) rest(c *customer) bool {
-	if g.now-c.seen > idle && len(c.held) == 0 && c.out == 0 {
-		delete(g.customers, c.id)
-		return true
-	}
-	if g.resting == nil || !c.quietly() || c.last > 0 || c.figured != g.figured || !c.idly(g) {
+	over := g.now-c.seen > idle && c.open == 0
+	if !over && (g.resting == nil || !c.quietly() || c.last > 0 || c.figured != g.figured || !c.idly(g)) {
 		return false
 	}
 	delete(g.customers, c.id)
-	g.resting[c.id] = rest{c.number, c.filled, float32(c.level), float32(c.ceiling), float32(c.excess), float32(c.rate),
-		float32(c.drift), float32(c.spread), float32(c.best), int32(c.tier), int32(c.figured), uint32(c.Number)}
+	g.firms.Remove(c) // a change of plans may have put it back
+	if !over {
+		g.resting[c.id] = rest{c.number, c.filled, float32(c.level), float32(c.ceiling), float32(c.excess), float32(c.rate),
+			float32(c.drift), float32(c.spread), float32(c.best), int32(c.tier), int32(c.figured), uint32(c.Number)}
+	}
 	return true
 }
 
