--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -261,3 +261,86 @@
 		}
 	}
 }
+
+// A thousand servers, of which half go in one list, all start anew, or all get new names: what is kept of them stays true,
+// nothing goes to one that is gone, and requests still find one.
+func TestAThousandServersChangeAtOnce(t *testing.T) {
+	for name, change := range map[string]func(k int, s *Server, now time.Duration){
+		"half gone":    func(k int, s *Server, _ time.Duration) { s.State = []ServerState{Gone, Ready}[k%2] },
+		"all cold":     func(_ int, s *Server, now time.Duration) { s.Started = now },
+		"one hall new": func(k int, s *Server, now time.Duration) { s.Zone, s.Started = k%3, now*time.Duration(k%3/2) },
+		"all renamed":  func(_ int, s *Server, _ time.Duration) { s.ID += 1 << 20 },
+	} {
+		for _, gateways := range []int{3, 200} {
+			set := testSettings()
+			set.Gateways = gateways
+			g, now, sent := New(set, 1), time.Second, 0
+			list := ready(1000)
+			g.Handle(now, ServerList{Whole: true, Servers: list})
+			for k := range uint64(600) {
+				if k == 300 {
+					for n := range list {
+						change(n, &list[n], now)
+					}
+					g.Handle(now, ServerList{Whole: true, Servers: list})
+					sent = 0
+				}
+				now += tick
+				acts := append(g.Handle(now, Request{ID: k, Customer: k, Units: 1, TTL: time.Second, Spread: 3}), g.Handle(now, Timer{tickToken})...)
+				for _, a := range acts {
+					if a, ok := a.(Send); ok {
+						at := g.servers[a.Server]
+						if sent++; at == nil || at.State != Ready {
+							t.Fatalf("%s: sent to %d, which is gone", name, a.Server)
+						}
+						g.Handle(now, Outcome{ID: a.ID, Server: a.Server, Status: OK, Closed: true})
+					}
+				}
+				checkSums(t, g)
+			}
+			if sent < 200 {
+				t.Errorf("%s, %d gateways: %d of 300 requests were sent", name, gateways, sent)
+			}
+		}
+	}
+}
+
+// Ten thousand held requests of one firm, a hundred of them cancelled in the middle: each gets one answer.
+func TestTenThousandHeldOfOneFirm(t *testing.T) {
+	const n = 10_000
+	set := testSettings()
+	set.Gateways, set.Plans = 1, []Plan{{Rate: 20_000, Burst: 5, Price: 1, OverCost: 1}}
+	g, now, answers := New(set, 1), time.Second, make([]int, n)
+	handle := func(ev Event) {
+		for _, a := range g.Handle(now, ev) {
+			switch a := a.(type) {
+			case Send:
+				g.Handle(now, Outcome{ID: a.ID, Server: a.Server, Status: OK, Closed: true})
+				answers[a.ID]++
+			case Refuse:
+				answers[a.ID]++
+			}
+		}
+	}
+	handle(ServerList{Whole: true, Servers: ready(400)})
+	for k := range uint64(n) {
+		handle(Request{ID: k, Customer: 7, Units: 1, TTL: time.Second, Spread: 1})
+	}
+	held := len(g.customers[7].held)
+	for k := uint64(4000); k < 4100; k++ {
+		handle(ClientGone{ID: k})
+		answers[k]++
+	}
+	for range 150 {
+		now += tick
+		handle(Timer{tickToken})
+	}
+	if held < n/2 {
+		t.Errorf("only %d were held: this shows little", held)
+	}
+	for k, got := range answers {
+		if got != 1 {
+			t.Fatalf("request %d has %d answers", k, got)
+		}
+	}
+}
