After an outage of the counter as many calls are made as before it

At fault: counted() in logic/logic.go took a fifth off the share of calls at every failure, also where nobody could be reached, and gave 2% back an answer. A limiter of 300 gets ten answers a second at most: from 0.05 to 0.3 takes 90. Change: the share before a row of failures is kept, and taken up again at the first answer if the last of the failures met nobody. Calls turned away or without an answer in time cut it as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -361,8 +361,10 @@
 		// Fewer calls to a counter in trouble, none for a while to a silent or full one; no crowd afterwards. A
 		// connection that broke or brought noise says nothing of the counter.
 		if e.Status != Reset {
-			g.calling = max(0.8*g.calling, leastCalling)
-			g.failed++
+			if g.failed++; g.failed == 1 {
+				g.borne = g.calling
+			}
+			g.calling, g.away = max(0.8*g.calling, leastCalling), g.failed >= silence && e.Status == ConnectFailed
 		}
 		if g.failed >= silence && e.Status != Reset {
 			g.counterUp = g.now + time.Duration((0.5+g.random())*float64(g.backoff))
@@ -389,6 +391,9 @@
 		}
 		return
 	}
+	if g.away { // nobody was there: that tells nothing of how many calls it bears
+		g.calling, g.away = g.borne, false
+	}
 	if g.blind > 0 && e.Latency > g.set.CounterLimit { // a crowd: a good answer, but too many calls
 		g.calling = max(0.95*g.calling, leastCalling)
 	}
--- a/logic/many_test.go
+++ b/logic/many_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -214,6 +215,22 @@
 	}
 }
 
+// A counter that nobody could reach tells nothing of the load that it bears: once it is back, as many calls are made as
+// before. One that turns calls away, or answers none of them in time, is spared as ever.
+func TestCallsAfterAnOutageAreThoseBefore(t *testing.T) {
+	for st, after := range map[Status]float64{ConnectFailed: 0.6, Full: 0.2, Timeout: 0.2} {
+		b := many(t, false)
+		b.g.calling = 0.6
+		for _, got := range []Status{Timeout, Timeout, Reset, st, st, st, st, st, OK} {
+			b.g.calls[1] = append(b.g.calls[1], call{cust: &customer{n: 2, span: time.Second}})
+			b.handle(CountResult{Name: 1, Status: got})
+		}
+		if got := b.g.calling; math.Abs(got-after) > 0.1 {
+			t.Errorf("after an outage that ended in %v the share of calls is %.2f, not about %.1f", st, got, after)
+		}
+	}
+}
+
 // Intervals are calls: in a large fleet the sums of customers with few gateways must not take the counter from the
 // others' draws, so their interval is the burst length; few gateways have calls to spare and follow sooner.
 func TestIntervalsSpareTheCounter(t *testing.T) {
--- a/logic/state.go
+++ b/logic/state.go
@@ -321,6 +321,8 @@
 	callsSaved         float64         // at most
 	callsLeft, calling float64         // calling: share of the calls that are made
 	failed             int             // calls in a row
+	borne              float64         // calling, before these
+	away               bool            // the last of them met nobody
 	began, second      time.Duration
 	counterUp, backoff time.Duration // no calls before
 	watchAt            time.Duration
