A flood of large commands is held once, within an eighth of the cap

Need: 64 MB of largest commands (16 connections, a server that says nothing) at a cap of 32 MB brought the limiter to 110 to 130 MB: killed by the platform. Seen: a heap profile shows 27 of 29 MB in resp.Parser.Feed: a connection keeps the largest buffer that it ever needed, for as long as it lives; and the bound on the bytes in hand was 48 MB whatever the cap. At fault: Parser.next kept the buffer; Conn.Take copies all that netpoll has read at once; mostHeld in internal/platform was a constant. Change: a parser without a message keeps 16 KiB; the front takes 64 KiB at once (netpoll calls again for the rest); the bytes in hand are bounded by an eighth of the cap, as each body is held three times (read, written, buffers).

--- a/cmd/bramblefall/memory_test.go
+++ b/cmd/bramblefall/memory_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -43,3 +45,30 @@
 	}
 	assert.Less(t, l.memory("RssAnon"), smallCap/2)
 }
+
+// Commands of the largest size, and servers that say nothing: what is in hand is bounded by the cap.
+func TestBytesInHandAreBoundedByTheCap(t *testing.T) {
+	t.Parallel()
+	mute := newServer(t, "s-1", "hall-a", func(net.Conn, []string) {})
+	const clients, each, limit = 16, 64, 64 // commands of 64 MB in all
+	l := start(t, world{memory: limit, servers: []*server{mute}})
+	large := strings.Repeat("p", 64<<10)
+	var flood sync.WaitGroup
+	for n := range clients {
+		flood.Go(func() {
+			c := l.dial()
+			for k := range each {
+				args := post(fmt.Sprintf("%04x", each*n+k+1))
+				args[1], args[4] = fmt.Sprintf("%016x", each*n+k+1), large // of firms with room in their quotas
+				c.write(command(args...))
+			}
+			for range each {
+				assert.Regexp(t, "^-", c.answer())
+			}
+		})
+	}
+	flood.Wait()
+	peak := l.memory("VmHWM") - l.memory("RssFile")
+	t.Log(peak, "MB at most")
+	assert.Less(t, peak, limit)
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -27,8 +27,9 @@
 const (
 	ownDescriptors = 64 // standard streams, pollers, listener, watch, and the counter's 32 at most
 	fewDescriptors = 128
-	memoryShare    = 0.75 // of the cap: the rest is for stacks and the kernel's buffers
-	moreGarbage    = 200  // per cent: 8 MB before the first collection, which half of the smallest cap holds
+	memoryShare    = 0.75  // of the cap: the rest is for stacks and the kernel's buffers
+	heldShare      = 0.125 // of the cap, for the bytes of commands in hand: a body is held as read, as written and in buffers
+	moreGarbage    = 200   // per cent: 8 MB before the first collection, which half of the smallest cap holds
 
 	lastAnswers = 3400 * time.Millisecond // after SIGTERM: SIGKILL may come 300 ms later
 	lastFlush   = 100 * time.Millisecond
@@ -75,7 +76,7 @@
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
 		lastwords.Go(func() { run(ctx) })
 	}
-	front := platform.New(cfg.settings, owner, board, most-most/2)
+	front := platform.New(cfg.settings, owner, board, most-most/2, int64(heldShare*float64(cfg.Limits.MemoryMB<<20)))
 	at, err := front.Listen(cfg.Listen)
 	if err != nil {
 		return err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -31,7 +31,7 @@
 	drainEvery  = 10 * time.Millisecond
 	mostWaiting = 1024     // commands on one connection without an answer yet
 	defaultOpen = 16384    // requests in hand at once, where the settings name no number
-	mostHeld    = 48 << 20 // bytes of their commands: a body may be 64 KiB
+	defaultHeld = 48 << 20 // bytes of their commands, where no cap is told: a body may be 64 KiB
 	mostErrors  = 64       // of one connection: who sends nothing else is not worth it
 	mostID      = 64       // bytes of a request's id
 	firms       = 1 << 33  // customers are numbers below this
@@ -57,8 +57,9 @@
 	set     logic.Settings
 	classes map[string]int
 	board   *plans.Board
-	most    int // client connections
-	open    int // request contexts
+	most    int   // client connections
+	open    int   // request contexts
+	bytes   int64 // of their commands
 
 	listener netpoll.Listener
 	held     atomic.Int64 // bytes of commands in hand
@@ -70,13 +71,17 @@
 	ids   map[string]struct{} // of the requests in hand
 }
 
-// New makes a front for the settings' classes and the board's plans that holds so many client connections at most.
-func New(set logic.Settings, owner Owner, board *plans.Board, most int) *Front {
-	f := &Front{owner: owner, set: set, classes: map[string]int{}, board: board, most: most, open: defaultOpen,
+// New makes a front for the settings' classes and the board's plans that holds so many client connections at most, and so
+// many bytes of commands (0: as many as is usual).
+func New(set logic.Settings, owner Owner, board *plans.Board, most int, bytes int64) *Front {
+	f := &Front{owner: owner, set: set, classes: map[string]int{}, board: board, most: most, open: defaultOpen, bytes: defaultHeld,
 		clients: map[*clientConnection]struct{}{}, ids: map[string]struct{}{}}
 	if set.MaxOpen > 0 {
 		f.open = min(set.MaxOpen, 2*defaultOpen)
 	}
+	if bytes > 0 {
+		f.bytes = min(bytes, defaultHeld)
+	}
 	for k, c := range set.Classes {
 		f.classes[c.Name] = k
 	}
@@ -245,7 +250,7 @@
 // read takes the bytes that have come and handles the commands that are whole. When the connection is ending it only
 // makes room for more.
 func (c *clientConnection) read(ending bool, now time.Time) {
-	err := c.conn.Take(func(b []byte) {
+	err := c.conn.TakeSome(func(b []byte) {
 		if !ending {
 			c.parser.Feed(b)
 		}
@@ -422,7 +427,7 @@
 	if err != nil {
 		return c.refuse(err.Error(), false)
 	}
-	if c.front.owner.Open() >= c.front.open || c.front.held.Load() >= mostHeld { // guards the memory in a flood; the module sees none of it
+	if c.front.owner.Open() >= c.front.open || c.front.held.Load() >= c.front.bytes { // guards the memory in a flood; the module sees none of it
 		c.reply([]byte("-BUSY 1000\r\n"), false)
 		return false
 	}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -14,6 +14,8 @@
 	maxArgs  = 64
 	maxLine  = 4 << 10
 	maxDepth = 4
+
+	mostKept = 16 << 10 // bytes that a parser without a message holds on to for the next
 )
 
 // ErrProtocol says that the bytes are no RESP2: where the next message begins is not known any more.
@@ -89,6 +91,9 @@
 	p.at += len(own)
 	if p.at == len(p.buf) {
 		p.buf, p.at = p.buf[:0], 0
+		if cap(p.buf) > mostKept { // a flood that is over must not fill the memory for as long as its connection lives
+			p.buf = nil
+		}
 	}
 	r, _ = read(&c)
 	return r, true, nil
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -86,11 +86,22 @@
 	}
 }
 
+const mostTaken = 64 << 10
+
 // Take hands over all bytes that have come. It may be called inside the ready callback alone; the bytes are the
 // connection's again when feed returns.
 func (c *Conn) Take(feed func([]byte)) error {
+	return c.take(c.raw.Reader().Len(), feed)
+}
+
+// TakeSome is Take for a peer that may bring more at once than is to be held twice: what is left is told of again.
+func (c *Conn) TakeSome(feed func([]byte)) error {
+	return c.take(min(c.raw.Reader().Len(), mostTaken), feed)
+}
+
+func (c *Conn) take(n int, feed func([]byte)) error {
 	r := c.raw.Reader()
-	b, err := r.Next(r.Len())
+	b, err := r.Next(n)
 	if err != nil {
 		return err
 	}
