A small share of a core leaves more time for the last answer

Checked: each of these had a timer 6 ms before its deadline; with limits.cores 0.14, 1.7 to 2.2 ms of processor time for a collection of garbage (gctrace) are 12 to 15 ms of the limiter's clock. Ruled out: answers held behind others (no answer of the id was made at all), a second answer, requests that a limiter forgets (nothing older than a deadline is open). At fault: internal/platform took the whole of the client's time, whatever share of a core the settings' limits name. Change: two milliseconds over that share are kept back. Test: the wait that a server is told at a whole and at a tenth of a core; it fails without the change.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -395,3 +397,16 @@
 		})
 	}
 }
+
+// A limiter on a tenth of a core takes ten times as long for its last answers: it waits for a server for less.
+func TestASmallShareOfACoreLeavesTimeForTheAnswer(t *testing.T) {
+	t.Parallel()
+	for cores, most := range map[float64]int{1: 5992, 0.1: 5974} { // of 6000 ms, of which the module keeps 6
+		s := newServer(t, "s-1", "hall-a", value("v"))
+		require.Equal(t, "v", start(t, world{cores: cores, servers: []*server{s}}).dial().do(post("01")...))
+		wait := regexp.MustCompile(`d=(\d+)`).FindStringSubmatch(s.seen()[0][3])
+		ms, err := strconv.Atoi(wait[1])
+		require.NoError(t, err)
+		assert.LessOrEqual(t, ms, most)
+	}
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -76,7 +76,8 @@
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
 		lastwords.Go(func() { run(ctx) })
 	}
-	front := platform.New(cfg.settings, owner, board, most-most/2, int64(heldShare*float64(cfg.Limits.MemoryMB<<20)))
+	front := platform.New(cfg.settings, owner, board, most-most/2, int64(heldShare*float64(cfg.Limits.MemoryMB<<20)),
+		cfg.Limits.Cores)
 	at, err := front.Listen(cfg.Listen)
 	if err != nil {
 		return err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,6 +36,8 @@
 	mostID      = 64       // bytes of a request's id
 	firms       = 1 << 33  // customers are numbers below this
 
+	answerWork = 2 * time.Millisecond // of processor time before an answer goes out: a collection of garbage takes so much
+
 	sweepEvery = 250 * time.Millisecond
 	firstWord  = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
 	longIdle   = 20 * time.Second        // between commands
@@ -57,9 +59,10 @@
 	set     logic.Settings
 	classes map[string]int
 	board   *plans.Board
-	most    int   // client connections
-	open    int   // request contexts
-	bytes   int64 // of their commands
+	most    int           // client connections
+	open    int           // request contexts
+	bytes   int64         // of their commands
+	lag     time.Duration // that an answer may be late by, on this share of a core
 
 	listener netpoll.Listener
 	held     atomic.Int64 // bytes of commands in hand
@@ -72,13 +75,16 @@
 }
 
 // New makes a front for the settings' classes and the board's plans that holds so many client connections at most, and so
-// many bytes of commands (0: as many as is usual).
-func New(set logic.Settings, owner Owner, board *plans.Board, most int, bytes int64) *Front {
+// many bytes of commands (0: as many as is usual). Cores is the share of a core that it runs on (0: a whole one).
+func New(set logic.Settings, owner Owner, board *plans.Board, most int, bytes int64, cores float64) *Front {
 	f := &Front{owner: owner, set: set, classes: map[string]int{}, board: board, most: most, open: defaultOpen, bytes: defaultHeld,
 		clients: map[*clientConnection]struct{}{}, ids: map[string]struct{}{}}
 	if set.MaxOpen > 0 {
 		f.open = min(set.MaxOpen, 2*defaultOpen)
 	}
+	if f.lag = answerWork; cores > 0 {
+		f.lag = time.Duration(float64(answerWork) / min(cores, 1))
+	}
 	if bytes > 0 {
 		f.bytes = min(bytes, defaultHeld)
 	}
@@ -440,7 +446,8 @@
 	}
 	r.id = c.front.owner.ID()
 	q.ID = r.id
-	if q.TTL -= time.Since(now); q.TTL <= 0 {
+	// Guards against an answer that is due in the last moment and has to wait for the program's share of a core.
+	if q.TTL -= time.Since(now) + c.front.lag; q.TTL <= 0 {
 		q.TTL = time.Nanosecond // the module refuses what cannot be done in time
 	}
 	c.mu.Lock()
