Units tell a request's size in the choice of servers, waits and units kept

Three figures of the module took all requests for one size: two units kept for dearer requests (less than one request there), attempts out when a server is chosen, one latency for all when an attempt's time is judged.

Change: kept units are two mean requests'; a server is chosen by the units out there over the mean of its upstream group; an attempt is expected to take the mean latency times its units over that mean. The mean is a group's own, so that a front with other units (hits_addend) cannot spoil another's. With one unit a request nothing changes.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -43,7 +43,7 @@
 	ticketed, mostTickets = 4.0, 3.0           // units of a part too coarse for sums; drawn at once
 	callsStored, dearest  = 8.0, 3.0           // calls saved by one of many; kept for the dearest plan
 	keptFrom              = 0.6                // of its part: who asks for more has units kept
-	keptUnits, keptShare  = 2.0, 0.5           // so many at most; of the store
+	keptUnits, keptShare  = 2.0, 0.5           // so many mean requests' at most; of the store
 	onTheWay              = 20 * ms            // between two clients' tries with the same time, in what is left
 
 	healthStep, sick      = 0.2, 0.35                    // newest outcome in failures; more ejects
@@ -594,19 +594,19 @@
 }
 
 // need is what the store must hold for a request; one larger than the store goes when the store is full.
-func (c *customer) need(r *request) float64 { return min(r.Units+c.kept(r), c.store()) }
+func (c *customer) need(r *request, g *Gateway) float64 { return min(r.Units+c.kept(r, g), c.store()) }
 
 func (c *customer) fits(r *request, g *Gateway) bool {
-	return c.out < c.slots(g) && (c.plan.Rate <= 0 || c.level >= c.need(r)-1e-9)
+	return c.out < c.slots(g) && (c.plan.Rate <= 0 || c.level >= c.need(r, g)-1e-9)
 }
 
 // kept is what stays in the store for requests that are worth more. A firm that asks for more than its part
 // gets as many units either way: with some kept, they go to what is worth most. Harm: a burst may end late.
-func (c *customer) kept(r *request) float64 {
+func (c *customer) kept(r *request, g *Gateway) float64 {
 	if r.class.Worth >= c.best || max(c.last, c.asked/c.span.Seconds()) <= keptFrom*c.part {
 		return 0
 	}
-	return min(keptUnits, keptShare*c.store()) * (1 - r.class.Worth/c.best)
+	return min(keptUnits*g.units, keptShare*c.store()) * (1 - r.class.Worth/c.best)
 }
 
 // underCeiling is this gateway's own proof that the ceiling holds: its part of rate and store.
@@ -662,7 +662,7 @@
 		}
 	}
 	if c.plan.Rate > 0 {
-		wait = max(0, c.need(r)+held-c.level) / max(c.part, 1e-6)
+		wait = max(0, c.need(r, g)+held-c.level) / max(c.part, 1e-6)
 	}
 	if c.plan.CeilingRate > 0 { // an empty ceiling's store holds back as the quota's does
 		wait = max(wait, (r.Units+held-c.ceiling)*c.n/c.plan.CeilingRate)
@@ -907,9 +907,9 @@
 	return f.busy < b+0.5
 }
 
-// expected is how long an attempt may take: under half an aim, or in a jam nothing would be tried.
+// expected is how long an attempt may take, by its units: under half an aim, or a jam would end all tries.
 func (g *Gateway) expected(r *request) time.Duration {
-	return min(time.Duration(r.fleet.latency), r.class.Aim/2)
+	return time.Duration(min(r.fleet.latency*r.Units/r.fleet.units, float64(r.class.Aim/2)))
 }
 
 // tooLate tells whether an attempt from then on has no chance: half of one no longer fits.
@@ -953,6 +953,7 @@
 	}
 	r.attempts++
 	f.busy, f.sends, f.room = f.busy+1, f.sends+1, f.room-1
+	f.units += 0.02 * (max(r.Units, 1e-3) - f.units) // never 0: sizes are told by it
 	s.on(r)
 	if s.ejected {
 		s.trial, s.until = true, g.now+s.backoff
@@ -1004,7 +1005,7 @@
 			w < 1 && !drawn && !g.mayWarm(r, s, w, len(list)) {
 			continue
 		}
-		score := (float64(s.out) + 1) * max(s.usual()/r.fleet.latency, 0.3) * (1 + 0.1*g.random())
+		score := (s.units/r.fleet.units + 1) * max(s.usual()/r.fleet.latency, 0.3) * (1 + 0.1*g.random())
 		if g.blind == 0 { // among many the draw has thinned a cold server's part already
 			score /= w
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -173,6 +173,38 @@
 	}
 }
 
+// Units tell a request's size: a server with one large attempt out has more to do than one with two small ones.
+func TestALargeAttemptWeighsMore(t *testing.T) {
+	for seed := range uint64(20) {
+		g := New(testSettings(), seed)
+		f := g.group(0)
+		f.units = 2
+		g.servers = map[ServerID]*server{}
+		large, small := &server{fleet: f, Server: Server{ID: 1, State: Ready}}, &server{fleet: f, Server: Server{ID: 2, State: Ready}}
+		f.list, f.usable, f.power = []*server{large, small}, 2, 2
+		large.on(&request{Request: Request{Units: 8}})
+		small.on(&request{Request: Request{Units: 1}})
+		small.on(&request{Request: Request{Units: 1}})
+		if g.best(&request{fleet: f}, f.list, true) != small {
+			t.Fatalf("seed %d: the large attempt's server was chosen", seed)
+		}
+		if f.latency = float64(100 * ms); g.expected(&request{fleet: f, Request: Request{Units: 8}, class: Class{Aim: time.Second}}) != 400*ms {
+			t.Fatal("an attempt of four times the mean's units is expected to take four times as long")
+		}
+	}
+}
+
+// What is kept for dearer requests is a matter of two requests, however many units they take.
+func TestUnitsKeptFollowTheSizeOfRequests(t *testing.T) {
+	// For one of half the best's worth, of a store of 10: half of two mean requests, and of half the store at most.
+	for units, want := range map[float64]float64{1: 1, 2: 2, 100: 2.5} {
+		c := &customer{plan: Plan{Rate: 10, Burst: 10}, n: 1, parts: 1, part: 1, asked: 10, span: time.Second, best: 2}
+		if got := c.kept(&request{class: Class{Worth: 1}}, &Gateway{units: units}); !near(got, want) {
+			t.Errorf("%v units a request: %v kept, not %v", units, got, want)
+		}
+	}
+}
+
 // A wait for the turn must leave time for an answer, whatever the deployment's aims are.
 func TestTurnsAreShorterThanTheShortestAim(t *testing.T) {
 	for aim, want := range map[time.Duration]time.Duration{1500 * ms: 600 * ms, 750 * ms: 600 * ms, 200 * ms: 160 * ms, 0: tick} {
--- a/logic/state.go
+++ b/logic/state.go
@@ -91,6 +91,7 @@
 	Server
 	fleet                  *fleet
 	out                    int
+	units                  float64       // of the attempts out
 	work                   []*request    // out here, oldest first
 	fails, latency         float64       // smoothed
 	heard, until, backoff  time.Duration // until: ejected, the next trial
@@ -104,6 +105,7 @@
 // fleet is what is known of the servers of one upstream group together. What one group does says nothing of
 // another: its answers may take a hundredth of the time.
 type fleet struct {
+	units           float64   // of an attempt, smoothed: larger ones take longer and load a server more
 	list, near      []*server // near: in the order of this gateway's own
 	working, cold   []*server // with attempts out; not warm yet
 	limit, retries  float64
@@ -197,6 +199,7 @@
 
 // on and off count an attempt at a server.
 func (s *server) on(r *request) {
+	s.units += r.Units
 	if s.out++; s.hall != nil {
 		s.hall.out++
 	}
@@ -206,6 +209,7 @@
 }
 
 func (s *server) off(r *request) {
+	s.units -= r.Units
 	if s.out--; s.hall != nil {
 		s.hall.out--
 	}
@@ -337,7 +341,7 @@
 func (g *Gateway) group(n int) *fleet {
 	for len(g.fleets) <= n {
 		g.fleets = append(g.fleets, &fleet{limit: limitStart / (1 + g.blind) / float64(g.set.Gateways),
-			retries: retryMost, latency: g.guess, base: g.guess, room: 1, halls: map[int]*hall{}})
+			retries: retryMost, latency: g.guess, base: g.guess, units: 1, room: 1, halls: map[int]*hall{}})
 	}
 	return g.fleets[max(n, 0)]
 }
