A planned restart closes the listener: shutdown of it is not known everywhere

The line at fault asked shutdown(2) of the listening descriptor, since netpoll's Close closes its copy twice, and the second time it may be another connection's.

Change: a Listener of our own (internal/socket) that netpoll watches on the one descriptor, without a copy, and that closes it once, kept out while an accept is under way. A closed one reports nothing to netpoll, which would take a number off its watch that may be another's. TCP_NODELAY is set here, as netpoll does it only for connections of its own kind.

Test: after a planned restart's grace a new connection is refused while held requests are still answered.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -11,6 +11,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -221,6 +222,8 @@
 	l.terminate()
 	require.Equal(t, "+PONG", l.dial().do("PING"), "new connections keep coming for a moment")
 	idle.ended()
+	_, err := net.Dial("tcp", l.addr)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED, "it has stopped listening")
 	close(release)
 	assert.Equal(t, "held", c.answer())
 	c.ended()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -13,7 +13,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cloudwego/netpoll"
@@ -64,7 +63,7 @@
 	bytes   int64         // of their commands
 	lag     time.Duration // that an answer may be late by, on this share of a core
 
-	listener netpoll.Listener
+	listener *socket.Listener
 	held     atomic.Int64 // bytes of commands in hand
 
 	mu      sync.Mutex // taken before a client connection's, never inside it
@@ -96,7 +95,7 @@
 
 // Listen opens the address and serves it until Drain. It returns where it listens.
 func (f *Front) Listen(addr string) (net.Addr, error) {
-	l, err := netpoll.CreateListener("tcp", addr)
+	l, err := socket.Listen(addr)
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
@@ -143,8 +142,7 @@
 // connection is closed as soon as nothing is owed on it.
 func (f *Front) Drain() {
 	time.Sleep(drainGrace)
-	// Not Close: netpoll's closes the descriptor twice, and the second may by then be another connection's.
-	if err := syscall.Shutdown(f.listener.Fd(), syscall.SHUT_RDWR); err != nil {
+	if err := f.listener.Close(); err != nil {
 		slog.Warn("cannot stop listening", "err", err)
 	}
 	lastwords.Go(func() {
--- /dev/null
+++ b/internal/socket/listener.go
@@ -0,0 +1,82 @@
+package socket
+
+import (
+	"net"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// Listener takes connections for netpoll and can be closed while netpoll watches it. netpoll's own holds a copy of the
+// descriptor that its Close closes twice, and the second time it may be another connection's.
+type Listener struct {
+	*net.TCPListener
+	raw syscall.RawConn
+	fd  int
+}
+
+// Listen opens the address.
+func Listen(addr string) (*Listener, error) {
+	at, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp, err := net.ListenTCP("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	l := &Listener{TCPListener: tcp}
+	if l.raw, err = tcp.SyscallConn(); err == nil {
+		err = l.raw.Control(func(fd uintptr) { l.fd = int(fd) })
+	}
+	if err != nil {
+		_ = tcp.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Fd is the descriptor for netpoll to watch.
+func (l *Listener) Fd() int { return l.fd }
+
+// Accept takes a connection that has come, and gives nil where there is none. A Listener that is closed has none: told
+// of an end, netpoll would take the number of the descriptor off its watch, which may be another connection's by then.
+// The kernel has taken the listener off with the close.
+func (l *Listener) Accept() (net.Conn, error) {
+	var fd int
+	var peer syscall.Sockaddr
+	var err error
+	// Control keeps a close out until it returns.
+	if l.raw.Control(func(of uintptr) {
+		fd, peer, err = syscall.Accept4(int(of), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	}) != nil || err == syscall.EAGAIN || err == syscall.EINTR {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // netpoll does it for its own kind alone
+	return &accepted{fd: fd, local: l.Addr(), remote: address(peer)}, nil
+}
+
+func address(s syscall.Sockaddr) net.Addr {
+	switch s := s.(type) {
+	case *syscall.SockaddrInet4:
+		return &net.TCPAddr{IP: s.Addr[:], Port: s.Port}
+	case *syscall.SockaddrInet6:
+		return &net.TCPAddr{IP: s.Addr[:], Port: s.Port}
+	}
+	return &net.TCPAddr{}
+}
+
+// accepted hands a descriptor to netpoll, which copies descriptor and addresses and reads, writes and closes by itself.
+type accepted struct {
+	netpoll.Conn // none: nothing else is asked
+	fd           int
+	local        net.Addr
+	remote       net.Addr
+}
+
+func (a *accepted) Fd() int              { return a.fd }
+func (a *accepted) LocalAddr() net.Addr  { return a.local }
+func (a *accepted) RemoteAddr() net.Addr { return a.remote }
