The reducer forgets servers that are gone; what is held is flat over hours

Seen: soak grows from 17 to 22 MB.

At fault: Reducer.groups, which took in each server ever listed and dropped none.

Change: a whole list replaces the group's servers, one that is gone is dropped after the module has heard it. A slot of the wheel keeps room for 8 things, not 64: 512 KB at most over its 8,192 slots, 4 MB before.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -3,6 +3,7 @@
 package core
 
 import (
+	"maps"
 	"time"
 
 	"bramblefall/internal/plans"
@@ -196,10 +197,7 @@
 	case Outcome:
 		r.outcome(e)
 	case UpstreamGroup:
-		for _, s := range e.Servers {
-			r.groups[s.ID] = e.Group
-		}
-		r.tell(e.ServerList)
+		r.listed(e.ServerList)
 	case CountResult:
 		r.counted(e)
 	case ClientGone:
@@ -220,6 +218,22 @@
 	return r.effects
 }
 
+// listed keeps the groups of the servers that are listed, and of no others: ids are never used again.
+func (r *Reducer) listed(l logic.ServerList) {
+	if l.Whole && !l.Failed {
+		maps.DeleteFunc(r.groups, func(_ logic.ServerID, group int) bool { return group == l.Group })
+	}
+	for _, s := range l.Servers {
+		r.groups[s.ID] = l.Group
+	}
+	r.tell(l)
+	for _, s := range l.Servers {
+		if s.State == logic.Gone {
+			delete(r.groups, s.ID)
+		}
+	}
+}
+
 func (r *Reducer) do(e Effect) { r.effects = append(r.effects, e) }
 
 // tell hands an event to the module and turns its actions into effects.
--- a/internal/due/due.go
+++ b/internal/due/due.go
@@ -12,7 +12,7 @@
 const (
 	slots = 1 << 13
 	width = 10 * time.Millisecond // of a slot: the wheel goes round in 82 s
-	idle  = 64                    // of an emptied slot: more room than that is given back
+	idle  = 8                     // of an emptied slot: more room than that is given back, so all hold 512 KB at most
 )
 
 // Place is a thing's place in a queue, a part of the thing itself. The zero value stands in none.
