Scripted links between processes; a fleet whose links fail keeps a firm's ceiling

Test: eight limiters, a link each to counter and discovery, one limiter stopped for 1.6 s, one killed and started again, ten times the ceiling asked for; two seeds. It does not see the loss of the ceiling's own guard alone: there the quota holds.

--- a/cmd/bramblefall/drain_test.go
+++ b/cmd/bramblefall/drain_test.go
@@ -28,10 +28,12 @@
 type fleet struct {
 	world    *standin.World
 	limiters []*standin.Limiter
+	configs  []object
 	ids      atomic.Int64
 }
 
-func startFleet(t *testing.T, nodes int, hands ...func(int) standin.Trouble) *fleet {
+// startFleet starts as many limiters as there are hands. Dress changes the configuration of each; nil: it is as usual.
+func startFleet(t *testing.T, nodes int, dress func(f *fleet, k int, config object), hands ...func(int) standin.Trouble) *fleet {
 	look()
 	f := &fleet{world: standin.NewWorld(fault.Plan{})}
 	t.Cleanup(f.world.Close)
@@ -52,19 +54,29 @@
 		set := settings()
 		set["balancers"], set["rank"] = len(hands), k
 		set["rules"].(object)["drainGrace"] = drainGrace
-		l, err := standin.Start(binary, t.TempDir(), object{"name": fmt.Sprintf("n%d", k), "listen": "127.0.0.1:0",
+		config := object{"name": fmt.Sprintf("n%d", k), "listen": "127.0.0.1:0",
 			"seed": fmt.Sprintf("%x", k+1), "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-			"settings": set, "known": d.Known(k), "discovery": agent})
-		require.NoError(t, err)
-		t.Cleanup(func() {
-			l.Kill()
-			require.Empty(t, l.Crashed())
-		})
-		f.limiters = append(f.limiters, l)
+			"settings": set, "known": d.Known(k), "discovery": agent}
+		if dress != nil {
+			dress(f, k, config)
+		}
+		f.configs = append(f.configs, config)
+		f.limiters = append(f.limiters, f.start(t, k))
 	}
 	return f
 }
 
+// start starts a limiter, for the first time or again.
+func (f *fleet) start(t *testing.T, k int) *standin.Limiter {
+	l, err := standin.Start(binary, t.TempDir(), f.configs[k])
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		l.Kill()
+		require.Empty(t, l.Crashed())
+	})
+	return l
+}
+
 // ask keeps one request after the other at a limiter until stop, and counts what was served.
 func (f *fleet) ask(l *standin.Limiter, stop <-chan struct{}, served *atomic.Int64) error {
 	conn, err := net.Dial("tcp", l.Addr)
@@ -113,7 +125,7 @@
 			return bad
 		}
 	}
-	f := startFleet(t, 48, most(standin.Cut), most(standin.Short), every, nil)
+	f := startFleet(t, 48, nil, most(standin.Cut), most(standin.Short), every, nil)
 	stop := make(chan struct{})
 	var asking sync.WaitGroup
 	var served [4]atomic.Int64
--- /dev/null
+++ b/cmd/bramblefall/links_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/standin"
+)
+
+const (
+	linkedLimiters = 8 // more than can do by their own view
+	foulTime       = 8 * time.Second
+	ceilingRate    = 20.0
+	ceilingBurst   = 20.0
+	askEvery       = 25 * time.Millisecond // at each limiter: ten times the ceiling in all
+)
+
+// Every limiter has links of its own to the counter and to discovery, which are cut in one or both directions, held, slowed
+// and reset by a seed, while one limiter is stopped for a while and another is killed and started again. All together keep a
+// firm's ceiling, each request has its one answer, and where the sky has cleared all call the counter again.
+func TestAFleetWhoseLinksFailKeepsTheCeiling(t *testing.T) {
+	for seed := range uint64(2) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			foulWeather(t, seed)
+		})
+	}
+}
+
+func foulWeather(t *testing.T, seed uint64) {
+	ceiling := &standin.Ceiling{Rate: ceilingRate, Burst: ceilingBurst}
+	var links []*standin.Link
+	link := func(target string) string {
+		l, err := standin.NewLink(target, seed+uint64(len(links)))
+		require.NoError(t, err)
+		t.Cleanup(l.Close)
+		links = append(links, l)
+		return l.Addr
+	}
+	dress := func(f *fleet, k int, config object) {
+		if k == 0 {
+			_, err := f.world.AddCounter()
+			require.NoError(t, err)
+		}
+		set := config["settings"].(object)
+		set["extra"].(object)["unitsTop"] = 1
+		bounded := plan("full", 15, 15, 0)
+		bounded["hardRate"], bounded["hardBurst"], bounded["hardSlack"] = ceilingRate, ceilingBurst, ceilingBurst/10
+		set["tariffs"] = []object{plan("regular", 1000, 4000, 0), bounded}
+		config["counter"], config["discovery"] = link(f.world.Counter.Addr), link(config["discovery"].(string))
+	}
+	f := startFleet(t, 6, dress, make([]func(int) standin.Trouble, linkedLimiters)...)
+	for _, n := range f.world.Nodes {
+		n.Handle = func(_ *standin.Node, args [][]byte) ([]byte, bool, time.Duration) {
+			if strings.Contains(string(args[3]), "t=full") {
+				ceiling.Sent(1)
+			}
+			return standin.Value("v"), true, time.Millisecond
+		}
+	}
+	stop := make(chan struct{})
+	var asking sync.WaitGroup
+	var answers [linkedLimiters]atomic.Int64
+	errs := make([]error, linkedLimiters)
+	for k, l := range f.limiters {
+		asking.Go(func() { errs[k] = f.flood(l, stop, &answers[k]) })
+	}
+	var playing sync.WaitGroup
+	for k, l := range links {
+		playing.Go(func() { l.Play(standin.DrawSpells(100*seed+uint64(k), foulTime)) })
+	}
+	const stopped, killed = 1, 2
+	time.Sleep(foulTime / 4)
+	require.NoError(t, f.limiters[stopped].Signal(syscall.SIGSTOP))
+	time.Sleep(foulTime / 5)
+	require.NoError(t, f.limiters[stopped].Signal(syscall.SIGCONT))
+	f.limiters[killed].Kill()
+	f.limiters[killed] = f.start(t, killed)
+	asking.Go(func() { errs[killed] = f.flood(f.limiters[killed], stop, &answers[killed]) })
+	playing.Wait()
+
+	var before [linkedLimiters]int64
+	for k := range f.limiters {
+		before[k] = links[2*k].Back()
+	}
+	for k, l := range f.limiters {
+		require.Eventually(t, func() bool { return links[2*k].Back() > before[k]+2 }, patience, 10*time.Millisecond, "the counter answers limiter %d again", k)
+		require.Empty(t, l.Crashed())
+	}
+	close(stop)
+	asking.Wait()
+	for k, err := range errs {
+		if k != killed {
+			require.NoError(t, err, "limiter %d", k)
+		}
+		require.Positive(t, answers[k].Load(), "limiter %d", k)
+	}
+	low, sends := ceiling.Lowest()
+	t.Logf("%d sends, the ceiling's store at least %.1f", sends, low)
+	require.Greater(t, sends, int(foulTime.Seconds()*ceilingRate/10), "this shows little")
+	require.GreaterOrEqual(t, low, -ceilingBurst/10)
+}
+
+// flood asks at a limiter for one firm, and takes exactly one answer for each request within its time.
+func (f *fleet) flood(l *standin.Limiter, stop <-chan struct{}, answers *atomic.Int64) error {
+	conn, err := net.Dial("tcp", l.Addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		select {
+		case <-stop:
+			if in.Buffered() > 0 {
+				return fmt.Errorf("bytes behind the last answer")
+			}
+			return nil
+		case <-time.After(askEvery):
+		}
+		args := ask(fmt.Sprintf("%08x", f.ids.Add(1)))
+		args[3] = strings.Replace(args[3], "t=regular,d=4000,units=1,spread=1", fmt.Sprintf("t=full,d=1000,units=1,spread=%d", linkedLimiters), 1)
+		if _, err := conn.Write([]byte(command(args...))); err != nil {
+			return err
+		}
+		_ = conn.SetReadDeadline(time.Now().Add(patience))
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return err
+		}
+		if strings.HasPrefix(line, "$") {
+			if _, err := in.ReadString('\n'); err != nil {
+				return err
+			}
+		}
+		answers.Add(1)
+	}
+}
