A limiter that stood still blames no server for answers that it reads late

The test has the process stand still for 10 s now and then: answers that waited are read late, one of them moves a limiter's strain by a third of ten aims, and the bound comes back by a few per cent an answer. At fault: judge and checkSilence count the limiter's own pause as the server's.

Change: learn goes before judge; silence counts from the end of the pause. An attempt over a pause that ends in an error is judged as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -197,7 +197,7 @@
 	if s.off(r); s.out == 0 && !s.listed {
 		delete(g.servers, s.ID)
 	}
-	g.judge(s, r, o)
+	g.learn(s, r, o)
 	neverRan := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
 	if !neverRan && !r.ran {
 		r.ran, r.keyServer, r.keyUntil = true, s, r.sentAt+r.class.KeyTTL
@@ -806,7 +806,7 @@
 	}
 	var waited float64
 	for _, r := range s.work {
-		waited += float64(g.now - max(r.sentAt, s.heard))
+		waited += float64(g.now - max(r.sentAt, s.heard, g.woke))
 	}
 	if waited < silentWork*max(s.latency, s.fleet.latency, float64(leastSilent)) {
 		return
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -662,3 +662,35 @@
 		t.Errorf("the dear request is out: %v, a cheap one before it: %v", dear.out, cheap[4].out)
 	}
 }
+
+// A process that stood still gets old answers late, and its timers with them: no server is to blame.
+func TestAnOwnPauseBlamesNoServer(t *testing.T) {
+	b := newBench(t, testSettings(), ready(10)...)
+	b.run(5*time.Second, func() {
+		b.arrive(Request{Customer: 1, Units: 1})
+		b.answer(50 * ms)
+	})
+	limit, latency := b.g.fleet.limit, b.g.fleet.latency
+	var out []*played
+	for k := range 10 {
+		if p := b.arrive(Request{Customer: uint64(100 + k), Units: 1}); p.out { // firms with room
+			out = append(out, p)
+		}
+	}
+	if len(out) == 0 {
+		t.Fatal("nothing was out in the pause")
+	}
+	b.now += 3 * time.Second
+	for k, p := range out {
+		b.end(p, []Status{OK, Timeout}[k%2])
+	}
+	b.run(100*ms, func() { b.answer(50 * ms) })
+	if f := b.g.fleet; f.limit < limit || f.latency > latency {
+		t.Errorf("the bound went from %v to %v, the latency from %v to %v", limit, f.limit, latency, f.latency)
+	}
+	for _, s := range b.g.servers {
+		if s.ejected {
+			t.Errorf("server %d is left out", s.ID)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -302,8 +302,8 @@
 	changed, ticked    time.Duration // the last of these; the last tick
 	stale              []*customer   // not all of these have taken up the last change
 	rng                uint64
-	now                time.Duration
-	blind              float64 // share of the fleet's work that is not seen here, as far as it matters
+	now, woke          time.Duration // woke: when this process last went on after a pause of its own
+	blind              float64       // share of the fleet's work that is not seen here, as far as it matters
 	started, watching  bool
 	actions            []Action
 	requests           map[uint64]*request
@@ -489,7 +489,10 @@
 // Handle takes one event at time now and returns what to do, in order.
 func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
 	g.actions = nil
-	if g.now = max(g.now, now); !g.started {
+	if g.now = max(g.now, now); g.now-g.ticked > pause {
+		g.woke = g.now
+	}
+	if !g.started {
 		g.started = true
 		g.second, g.began = g.now, g.now
 		g.do(SetTimer{tickToken, tick})
@@ -569,6 +572,21 @@
 	}
 }
 
+const pause = 300 * time.Millisecond // without a tick: this process stood still
+
+// learn judges by an outcome, unless the attempt was out while this process stood still: what came late then came late by
+// that, and would leave all servers out and the bound at its floor.
+func (g *Gateway) learn(s *server, r *request, o Outcome) {
+	if r.sentAt >= g.woke || o.Status != OK && o.Status != Timeout {
+		g.judge(s, r, o)
+		return
+	}
+	s.trial = false
+	if o.Status == OK {
+		s.heard = g.now
+	}
+}
+
 // untried is the latency of a server not met yet. One of many gateways meets it late: until then it is the fleet's, as
 // that changes.
 func (g *Gateway) untried(f *fleet) float64 {
