A closed listener fails instead of giving nothing; fleets check whose value it is

- A Listener that is closed gave nil, which netpoll takes for "watch again" where it was short of descriptors before: it would have put a number on its watch that may be another connection's (netpoll_server.go, the way back from EMFILE).
It fails now, with words that do not make netpoll take the number off its watch either.
Read from the code, not provoked.
- The fleet tests share one client, which holds each value against its request's id; before, an answer to another request would have passed.
- The model counts who else holds a duty whenever an effect begins, in all runs, not only for the planted bug.
Repeats of maps.Clone and of the model's clock are gone; Rules.Valid, which nothing called, too.

--- a/cmd/bramblefall/drain_test.go
+++ b/cmd/bramblefall/drain_test.go
@@ -42,8 +42,8 @@
 	for k := range nodes {
 		n, err := f.world.AddNode(fmt.Sprintf("s-%d", k), []string{"hall-a", "hall-b"}[k%2])
 		require.NoError(t, err)
-		n.Handle = func(*standin.Node, [][]byte) ([]byte, bool, time.Duration) {
-			return standin.Value("v"), true, time.Millisecond
+		n.Handle = func(_ *standin.Node, args [][]byte) ([]byte, bool, time.Duration) {
+			return standin.Value(string(args[2])), true, time.Millisecond
 		}
 	}
 	d, err := f.world.AddDiscovery()
@@ -77,8 +77,9 @@
 	return l
 }
 
-// ask keeps one request after the other at a limiter until stop, and counts what was served.
-func (f *fleet) ask(l *standin.Limiter, stop <-chan struct{}, served *atomic.Int64) error {
+// ask keeps one request after the other at a limiter until stop, with a pause between them. Each has its one answer, and a
+// value is that request's own. It counts what was served.
+func (f *fleet) ask(l *standin.Limiter, stop <-chan struct{}, pause time.Duration, words string, served *atomic.Int64) error {
 	conn, err := net.Dial("tcp", l.Addr)
 	if err != nil {
 		return err
@@ -88,10 +89,17 @@
 	for {
 		select {
 		case <-stop:
+			if n := in.Buffered(); n > 0 {
+				return fmt.Errorf("%d bytes behind the last answer", n)
+			}
 			return nil
-		default:
+		case <-time.After(pause):
 		}
-		if _, err := conn.Write([]byte(command(ask(fmt.Sprintf("%08x", f.ids.Add(1)))...))); err != nil {
+		id := fmt.Sprintf("%08x", f.ids.Add(1))
+		args := ask(id)
+		args[3] = words
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		if _, err := conn.Write([]byte(command(args...))); err != nil {
 			return err
 		}
 		line, err := in.ReadString('\n')
@@ -100,8 +108,8 @@
 		}
 		if strings.HasPrefix(line, "$") {
 			served.Add(1)
-			if _, err := in.ReadString('\n'); err != nil {
-				return err
+			if value, err := in.ReadString('\n'); err != nil || value != id+"\r\n" {
+				return fmt.Errorf("%q for request %s: %v", value, id, err)
 			}
 		}
 	}
@@ -132,7 +140,7 @@
 	errs := make(chan error, 8)
 	for k, l := range f.limiters {
 		for range 2 {
-			asking.Go(func() { errs <- f.ask(l, stop, &served[k]) })
+			asking.Go(func() { errs <- f.ask(l, stop, 0, ask("")[3], &served[k]) })
 		}
 	}
 	var renewing sync.WaitGroup
--- a/cmd/bramblefall/links_test.go
+++ b/cmd/bramblefall/links_test.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,10 +27,7 @@
 // firm's ceiling, each request has its one answer, and where the sky has cleared all call the counter again.
 func TestAFleetWhoseLinksFailKeepsTheCeiling(t *testing.T) {
 	t.Parallel()
-	foulWeather(t, 1)
-}
-
-func foulWeather(t *testing.T, seed uint64) {
+	const seed = 1
 	ceiling := &standin.Ceiling{Rate: ceilingRate, Burst: ceilingBurst}
 	var links []*standin.Link
 	link := func(target string) string {
@@ -48,7 +43,6 @@
 			require.NoError(t, err)
 		}
 		set := config["settings"].(object)
-		set["extra"].(object)["unitsTop"] = 1
 		bounded := plan("full", 15, 15, 0)
 		bounded["hardRate"], bounded["hardBurst"], bounded["hardSlack"] = ceilingRate, ceilingBurst, ceilingBurst/10
 		set["tariffs"] = []object{plan("regular", 1000, 4000, 0), bounded}
@@ -60,15 +54,16 @@
 			if strings.Contains(string(args[3]), "t=full") {
 				ceiling.Sent(1)
 			}
-			return standin.Value("v"), true, time.Millisecond
+			return standin.Value(string(args[2])), true, time.Millisecond
 		}
 	}
+	words := fmt.Sprintf("c=balance-read,t=full,d=1000,units=1,spread=%d,first=0", linkedLimiters)
 	stop := make(chan struct{})
 	var asking sync.WaitGroup
-	var answers [linkedLimiters]atomic.Int64
+	var served [linkedLimiters]atomic.Int64
 	errs := make([]error, linkedLimiters)
 	for k, l := range f.limiters {
-		asking.Go(func() { errs[k] = f.flood(l, stop, &answers[k]) })
+		asking.Go(func() { errs[k] = f.ask(l, stop, askEvery, words, &served[k]) })
 	}
 	var playing sync.WaitGroup
 	for k, l := range links {
@@ -81,7 +76,7 @@
 	require.NoError(t, f.limiters[stopped].Signal(syscall.SIGCONT))
 	f.limiters[killed].Kill()
 	f.limiters[killed] = f.start(t, killed)
-	asking.Go(func() { errs[killed] = f.flood(f.limiters[killed], stop, &answers[killed]) })
+	asking.Go(func() { errs[killed] = f.ask(f.limiters[killed], stop, askEvery, words, &served[killed]) })
 	playing.Wait()
 
 	var before [linkedLimiters]int64
@@ -98,46 +93,10 @@
 		if k != killed {
 			require.NoError(t, err, "limiter %d", k)
 		}
-		require.Positive(t, answers[k].Load(), "limiter %d", k)
+		require.Positive(t, served[k].Load(), "limiter %d", k)
 	}
 	low, sends := ceiling.Lowest()
 	t.Logf("%d sends, the ceiling's store at least %.1f", sends, low)
 	require.Greater(t, sends, int(foulTime.Seconds()*ceilingRate/10), "this shows little")
 	require.GreaterOrEqual(t, low, -ceilingBurst/10)
 }
-
-// flood asks at a limiter for one firm, and takes exactly one answer for each request within its time.
-func (f *fleet) flood(l *standin.Limiter, stop <-chan struct{}, answers *atomic.Int64) error {
-	conn, err := net.Dial("tcp", l.Addr)
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
-	in := bufio.NewReader(conn)
-	for {
-		select {
-		case <-stop:
-			if in.Buffered() > 0 {
-				return fmt.Errorf("bytes behind the last answer")
-			}
-			return nil
-		case <-time.After(askEvery):
-		}
-		args := ask(fmt.Sprintf("%08x", f.ids.Add(1)))
-		args[3] = strings.Replace(args[3], "t=regular,d=4000,units=1,spread=1", fmt.Sprintf("t=full,d=1000,units=1,spread=%d", linkedLimiters), 1)
-		if _, err := conn.Write([]byte(command(args...))); err != nil {
-			return err
-		}
-		_ = conn.SetReadDeadline(time.Now().Add(patience))
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return err
-		}
-		if strings.HasPrefix(line, "$") {
-			if _, err := in.ReadString('\n'); err != nil {
-				return err
-			}
-		}
-		answers.Add(1)
-	}
-}
--- a/internal/core/memory_test.go
+++ b/internal/core/memory_test.go
@@ -1,33 +1,17 @@
-package core
+package core_test
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
 
+	"bramblefall/internal/core"
+	"bramblefall/internal/model"
 	"bramblefall/internal/plans"
 	"bramblefall/logic"
 )
 
-type due struct {
-	at time.Duration
-	ev Event
-}
-
-type calendar []due
-
-func (c calendar) Len() int           { return len(c) }
-func (c calendar) Less(i, j int) bool { return c[i].at < c[j].at }
-func (c calendar) Swap(i, j int)      { c[i], c[j] = c[j], c[i] }
-func (c *calendar) Push(x any)        { *c = append(*c, x.(due)) }
-func (c *calendar) Pop() any {
-	x := (*c)[len(*c)-1]
-	*c = (*c)[:len(*c)-1]
-	return x
-}
-
 type nobody struct{}
 
 func (nobody) Served(any)             {}
@@ -46,65 +30,65 @@
 	limits := plans.DefaultLimits
 	limits.MostUnits = 8
 	rng := rand.New(rand.NewPCG(1, 2))
-	r := New(set, 1, plans.New(set.Plans, limits))
-	now, begun := 1000*time.Hour, 1000*time.Hour
-	todo := &calendar{}
-	later := func(after time.Duration, ev Event) { heap.Push(todo, due{now + after, ev}) }
+	r := core.New(set, 1, plans.New(set.Plans, limits))
+	var sim model.Sim
+	const begun = 1000 * time.Hour // the reducer's clock is Unix time
+	sim.Run(begun)
 	var list []logic.Server
 	var sent, refused int
-	take := func(ev Event) {
-		for _, e := range r.Reduce(now, ev, nil) {
+	var take func(ev core.Event)
+	later := func(after time.Duration, ev core.Event) { sim.After(after, func() { take(ev) }) }
+	take = func(ev core.Event) {
+		for _, e := range r.Reduce(sim.Now(), ev, nil) {
 			some := time.Duration(rng.ExpFloat64() * float64(80*time.Millisecond))
 			switch e := e.(type) {
-			case SetTimer:
-				later(e.At-now, e.Timer)
-			case Try:
+			case core.SetTimer:
+				later(e.At-sim.Now(), e.Timer)
+			case core.Try:
 				if sent++; rng.IntN(20) == 0 { // lost: its time ends it
-					later(e.Wait, Outcome{Key: e.Key, Status: logic.Timeout})
+					later(e.Wait, core.Outcome{Key: e.Key, Status: logic.Timeout})
 				} else {
-					later(some, Outcome{Key: e.Key, Status: logic.OK})
+					later(some, core.Outcome{Key: e.Key, Status: logic.OK})
 				}
-			case Abandon:
-				later(0, Outcome{Key: e.Key, Status: e.Reason})
-			case Count:
+			case core.Abandon:
+				later(0, core.Outcome{Key: e.Key, Status: e.Reason})
+			case core.Count:
 				if rng.IntN(20) > 0 {
-					later(some/20, CountResult{e.Call, logic.OK, e.Amount})
+					later(some/20, core.CountResult{Call: e.Call, Status: logic.OK, Total: e.Amount})
 				}
-			case Reject:
+			case core.Reject:
 				refused++
 			}
 		}
 	}
-	arrival, firm := now, uint64(1000)
-	for quarter, held := 1, [5]uint64{}; quarter <= 4; quarter++ {
-		for end := begun + time.Duration(quarter)*30*time.Minute; now < end; {
-			if todo.Len() > 0 && (*todo)[0].at <= arrival {
-				next := heap.Pop(todo).(due)
-				now = max(now, next.at)
-				take(next.ev)
-				continue
+	firm := uint64(1000)
+	var arrive func()
+	arrive = func() {
+		sim.After(time.Duration(rng.ExpFloat64()*float64(50*time.Millisecond)), arrive)
+		if rng.IntN(10) == 0 || len(list) == 0 { // one goes, one comes
+			var news []logic.Server
+			if len(list) >= 12 {
+				gone := list[0]
+				gone.State, list = logic.Gone, list[1:]
+				news = append(news, gone)
 			}
-			now, arrival = arrival, arrival+time.Duration(rng.ExpFloat64()*float64(50*time.Millisecond))
-			if rng.IntN(10) == 0 || len(list) == 0 { // one goes, one comes
-				var news []logic.Server
-				if len(list) >= 12 {
-					gone := list[0]
-					gone.State, list = logic.Gone, list[1:]
-					news = append(news, gone)
-				}
-				s := logic.Server{ID: logic.ServerID(rng.Uint64()), State: logic.Ready, Zone: rng.IntN(2), Started: now}
-				list = append(list, s)
-				take(UpstreamGroup{logic.ServerList{Servers: append(news, s)}})
-			}
-			asks := rng.Uint64N(100)
-			if rng.IntN(4) == 0 {
-				firm++
-				asks = firm
-			}
-			class := rng.IntN(2)
-			take(RequestContext{logic.Request{ID: rng.Uint64(), Class: class, Plan: int(asks % 2), Customer: asks, TTL: set.Classes[class].Deadline,
-				Units: float64(1 + rng.IntN(8)), Spread: 4}, nobody{}})
+			s := logic.Server{ID: logic.ServerID(rng.Uint64()), State: logic.Ready, Zone: rng.IntN(2), Started: sim.Now()}
+			list = append(list, s)
+			take(core.UpstreamGroup{ServerList: logic.ServerList{Servers: append(news, s)}})
 		}
+		asks := rng.Uint64N(100)
+		if rng.IntN(4) == 0 {
+			firm++
+			asks = firm
+		}
+		class := rng.IntN(2)
+		take(core.RequestContext{Request: logic.Request{ID: rng.Uint64(), Class: class, Plan: int(asks % 2), Customer: asks,
+			TTL: set.Classes[class].Deadline, Units: float64(1 + rng.IntN(8)), Spread: 4}, Origin: nobody{}})
+	}
+	arrive()
+	var held [5]uint64
+	for quarter := 1; quarter <= 4; quarter++ {
+		sim.Run(begun + time.Duration(quarter)*30*time.Minute)
 		runtime.GC()
 		runtime.GC()
 		var m runtime.MemStats
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -11,11 +11,6 @@
 	MostLag  time.Duration // of the owner's loop: a limiter that lags by more gives its duties up and takes none
 }
 
-// Valid tells what is wrong with the rules, if anything.
-func (r Rules) Valid() bool {
-	return r.Life > 0 && r.Drift >= 0 && r.Drift < r.Life/3 && r.Patience > 0 && r.Retry > 0 && r.MostLag > 0
-}
-
 // Holder is a limiter's own view of one duty. It is a plain value: a copy is a snapshot.
 type Holder struct {
 	duty  Duty
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -19,6 +19,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 )
 
@@ -74,15 +75,11 @@
 
 // NewRegister makes a register from the grants of a snapshot (nil: none). Terms go on from there.
 func NewRegister(grants map[Duty]Grant) *Register {
-	r := &Register{grants: map[Duty]Grant{}}
-	for d, g := range grants {
-		r.grants[d] = g
-	}
-	return r
+	return &Register{grants: maps.Collect(maps.All(grants))}
 }
 
 // Grants is a copy of all that stands.
-func (r *Register) Grants() map[Duty]Grant { return NewRegister(r.grants).grants }
+func (r *Register) Grants() map[Duty]Grant { return maps.Clone(r.grants) }
 
 // Grant is what stands of a duty.
 func (r *Register) Grant(d Duty) Grant { return r.grants[d] }
@@ -182,11 +179,7 @@
 
 // NewFence makes a fence from the terms that were kept (nil: none).
 func NewFence(seen map[Duty]Term) *Fence {
-	f := &Fence{seen: map[Duty]Term{}}
-	for d, t := range seen {
-		f.seen[d] = t
-	}
-	return f
+	return &Fence{seen: maps.Collect(maps.All(seen))}
 }
 
 // Take tells whether an effect of this term may be taken. A new holder's first effect raises the fence; where its duty
@@ -200,4 +193,4 @@
 }
 
 // Seen is a copy of the highest terms, to be kept.
-func (f *Fence) Seen() map[Duty]Term { return NewFence(f.seen).seen }
+func (f *Fence) Seen() map[Duty]Term { return maps.Clone(f.seen) }
--- a/internal/lease/model_test.go
+++ b/internal/lease/model_test.go
@@ -80,10 +80,7 @@
 	return w
 }
 
-// clock is now for all: a limiter whose clock falls behind has its times moved on instead.
-func (w *world) clock(int) time.Duration { return w.now }
-
-// normal moves time to 0 and drops what decides nothing any more, so that states which go on alike are one.
+// normal moves time to 0, so that all clocks show 0 and one that falls behind has its times moved on, and drops what decides nothing any more, so that states which go on alike are one.
 func (w *world) normal(planted bug) {
 	if w.g.Holder != (Life{}) {
 		w.watch.since = max(w.watch.since-w.now, -life)
@@ -165,16 +162,18 @@
 	return ""
 }
 
-// believers is how many think that they hold the duty.
-func (w *world) believers() (n int) {
+// believers is how many think that they hold the duty, but for one of them.
+func (w *world) believers(but int) (n int) {
 	for k := range w.peers {
-		if _, may := w.peers[k].h.May(w.clock(k)); may {
+		if _, may := w.peers[k].h.May(w.now); may && k != but {
 			n++
 		}
 	}
 	return n
 }
 
+const none = -1
+
 // steps gives each state that may follow to visit.
 func (w world) steps(planted bug, visit func(world, string)) {
 	n := w
@@ -182,7 +181,7 @@
 	visit(n, "")
 	for k := range w.left.peers {
 		if n := w; true {
-			if c, num, ok := n.peers[k].h.Ask(n.clock(k)); ok {
+			if c, num, ok := n.peers[k].h.Ask(n.now); ok {
 				for s := range n.asks { // in a free place, or in that of one that is lost
 					m := n
 					m.asks[s] = ask{int8(k + 1), num, c}
@@ -194,17 +193,15 @@
 			}
 		}
 		p := w.peers[k]
-		term, may := p.h.May(w.clock(k))
-		if planted == "no check before an effect" && term > 0 && !may {
-			if w.believers() > 0 {
-				visit(w, "an effect begins while another limiter holds the duty")
-			}
-		}
-		if may && p.pending.term == 0 && w.left.effects > 0 {
-			n := w
+		term, may := p.h.May(w.now)
+		if acts := may || planted == "no check before an effect" && term > 0; acts && p.pending.term == 0 && w.left.effects > 0 {
+			n, bad := w, ""
 			n.left.effects--
 			n.peers[k].pending = effect{term, p.h.self}
-			visit(n, "")
+			if w.believers(k) > 0 {
+				bad = "an effect begins while another limiter holds the duty"
+			}
+			visit(n, bad)
 		}
 		if p.pending.term != 0 {
 			n := w
@@ -228,12 +225,12 @@
 			n := w
 			n.left.gives--
 			old := n.peers[k].h
-			if c, ok := n.peers[k].h.HandOver(w.peers[(k+1)%w.left.peers].h.self, n.clock(k)); ok {
+			if c, ok := n.peers[k].h.HandOver(w.peers[(k+1)%w.left.peers].h.self, n.now); ok {
 				if planted == "a hand-over that goes on" {
 					n.peers[k].h = old
 				}
 				_, _ = n.apply(c, planted)
-				n.peers[(k+1)%w.left.peers].h.Given(n.clock((k + 1) % fleet))
+				n.peers[(k+1)%w.left.peers].h.Given(n.now)
 			}
 			visit(n, "")
 		}
@@ -268,11 +265,11 @@
 			num := m.num
 			switch planted {
 			case "time counted from the answer":
-				h.asked = n.clock(int(m.to - 1))
+				h.asked = n.now
 			case "an old answer heard":
 				num = h.out
 			}
-			h.Told(n.clock(int(m.to-1)), num, m.g, err, 0)
+			h.Told(n.now, num, m.g, err, 0)
 			visit(n, "")
 		}
 	}
@@ -327,7 +324,7 @@
 				return
 			}
 			seen[key] = struct{}{}
-			if n.believers() > 1 {
+			if n.believers(none) > 1 {
 				wrong = "two limiters believe that they hold the duty"
 			}
 			if planted == "" && len(seen)%97 == 0 && !n.fair() {
@@ -348,7 +345,7 @@
 				w.peers[k].h.Told(0, num, g, err, float64(k)/fleet)
 			}
 		}
-		if w.believers() == 1 {
+		if w.believers(none) == 1 {
 			return true
 		}
 		if w.g.Holder != (Life{}) && over(w.watch, life, 0) {
@@ -385,7 +382,7 @@
 
 func TestPlantedBugsAreCaught(t *testing.T) {
 	for planted, b := range map[bug]bounds{
-		"no check before an effect":            {peers: 2, terms: 2},
+		"no check before an effect":            {peers: 2, terms: 2, effects: 2},
 		"time counted from the answer":         {peers: 2, terms: 2},
 		"a term used again":                    {peers: 2, terms: 3, effects: 2},
 		"no fence":                             {peers: 2, terms: 2, effects: 2},
--- a/internal/model/sim.go
+++ b/internal/model/sim.go
@@ -43,6 +43,9 @@
 	return last
 }
 
+// Now is the instant of the event in hand.
+func (s *Sim) Now() time.Duration { return s.now }
+
 // At asks for do at an instant; one that has passed is now.
 func (s *Sim) At(at time.Duration, do func()) {
 	s.seq++
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -1,6 +1,7 @@
 package socket
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -39,9 +40,12 @@
 // Fd is the descriptor for netpoll to watch.
 func (l *Listener) Fd() int { return l.fd }
 
-// Accept takes a connection that has come, and gives nil where there is none. A Listener that is closed has none: told
-// of an end, netpoll would take the number of the descriptor off its watch, which may be another connection's by then.
-// The kernel has taken the listener off with the close.
+// errOver must not say that the listener is closed: netpoll would take the number of its descriptor off its watch, which may
+// be another connection's by then. The kernel has taken the listener off with the close.
+var errOver = errors.New("the listener is over")
+
+// Accept takes a connection that has come, and gives nil where there is none. After a close it fails: given nil, netpoll
+// would watch the number again if it was short of descriptors when the listener was closed.
 func (l *Listener) Accept() (net.Conn, error) {
 	var fd int
 	var peer syscall.Sockaddr
@@ -49,10 +53,14 @@
 	// Control keeps a close out until it returns.
 	if l.raw.Control(func(of uintptr) {
 		fd, peer, err = syscall.Accept4(int(of), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-	}) != nil || err == syscall.EAGAIN || err == syscall.EINTR {
-		return nil, nil
+	}) != nil {
+		return nil, errOver
 	}
-	if err != nil {
+	switch err {
+	case nil:
+	case syscall.EAGAIN, syscall.EINTR:
+		return nil, nil
+	default:
 		return nil, err
 	}
 	_ = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1) // netpoll does it for its own kind alone
--- a/logic/state.go
+++ b/logic/state.go
@@ -575,7 +575,8 @@
 const pause = 300 * time.Millisecond // without a tick: this process stood still
 
 // learn judges by an outcome, unless the attempt was out while this process stood still: what came late then came late by
-// that, and would leave all servers out and the bound at its floor.
+// that, and would leave all servers out and the bound at its floor. Harm: one that stands still again and again learns late
+// that servers are slow.
 func (g *Gateway) learn(s *server, r *request, o Outcome) {
 	if r.sentAt >= g.woke || o.Status != OK && o.Status != Timeout {
 		g.judge(s, r, o)
