A good answer over an own pause speaks for its server, and a start is no pause

Cause: before the first tick g.ticked is 0, so each attempt counted as out over a pause, and learn dropped its good answer whole: s.fails did not fall after it, and the next failure left the only endpoint out. On a loaded machine the first tick comes late enough. The same held after a real pause, and a trial that went well over one did not bring its server back.

A new test of the module fails in all five of its checks before: fails stay, the server of a trial stays out.

Change: an answer over a pause tells all but its time (the group's mean stands for it); only a time-out over a pause is dropped. Before the first tick nothing is a pause.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -830,7 +830,7 @@
 
 // judge learns from an outcome.
 func (g *Gateway) judge(s *server, r *request, o Outcome) {
-	lat, f := float64(g.now-r.sentAt), s.fleet
+	lat, f := g.took(r), s.fleet
 	f.met(s.Zone, o.Status, g.now)
 	switch o.Status {
 	case OK:
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -694,3 +694,28 @@
 		}
 	}
 }
+
+// Before the first tick, and after a pause, a good answer speaks for its server as ever: only its time tells nothing.
+func TestAGoodAnswerOverAPauseStillSpeaksForItsServer(t *testing.T) {
+	b := newBench(t, testSettings(), ready(1)...)
+	s := b.g.servers[1]
+	one := func(wait time.Duration, status Status) {
+		b.nextID++
+		p := b.arrive(Request{Customer: b.nextID, Units: 1})
+		if !p.out {
+			t.Fatalf("nothing was sent, fails %v, left out %v", s.fails, s.ejected)
+		}
+		b.now += wait
+		b.end(p, status)
+	}
+	for _, wait := range []time.Duration{ms, ms, 2 * time.Second, 2 * time.Second} { // no tick comes in all this
+		s.fails = 0.3
+		if one(wait, OK); s.fails >= 0.3 {
+			t.Errorf("after %v: fails stay at %v", wait, s.fails)
+		}
+	}
+	s.fails, s.ejected, s.until = 0.5, true, 0
+	if one(2*time.Second, OK); s.ejected {
+		t.Error("a trial that went well over a pause leaves its server out")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -489,7 +489,7 @@
 // Handle takes one event at time now and returns what to do, in order.
 func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
 	g.actions = nil
-	if g.now = max(g.now, now); g.now-g.ticked > pause {
+	if g.now = max(g.now, now); g.ticked > 0 && g.now-g.ticked > pause { // before the first tick it has not stood still
 		g.woke = g.now
 	}
 	if !g.started {
@@ -574,18 +574,26 @@
 
 const pause = 300 * time.Millisecond // without a tick: this process stood still
 
-// learn judges by an outcome, unless the attempt was out while this process stood still: what came late then came late by
-// that, and would leave all servers out and the bound at its floor. Harm: one that stands still again and again learns late
-// that servers are slow.
+// paused tells whether an attempt was out while this process stood still. What came late then came late by that, and would
+// leave all servers out and the bound at its floor: it is no time-out, and an answer tells all but its time. Harm: a process
+// that stands still again and again learns late that servers are slow.
+func (g *Gateway) paused(r *request) bool { return r.sentAt < g.woke }
+
+// took is what an attempt tells of the latency.
+func (g *Gateway) took(r *request) float64 {
+	if g.paused(r) {
+		return r.fleet.latency
+	}
+	return float64(g.now - r.sentAt)
+}
+
+// learn judges by an outcome.
 func (g *Gateway) learn(s *server, r *request, o Outcome) {
-	if r.sentAt >= g.woke || o.Status != OK && o.Status != Timeout {
-		g.judge(s, r, o)
+	if o.Status == Timeout && g.paused(r) {
+		s.trial = false
 		return
 	}
-	s.trial = false
-	if o.Status == OK {
-		s.heard = g.now
-	}
+	g.judge(s, r, o)
 }
 
 // untried is the latency of a server not met yet. One of many gateways meets it late: until then it is the fleet's, as
