Requests can be followed by their id at log level debug

Need: requests taken on ended without an answer at planned restarts, and no line said what became of one. Change: at debug, off in service, the RESP2 front logs each connection accepted, closed and over and each request taken and answered, by its id and connection; the loop logs tries and outcomes by request context. One flag is read where the level is lower.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -48,10 +48,13 @@
 
 	timers  timers
 	effects []core.Effect
+	traced  bool // tries and outcomes are logged: off in service
 }
 
 // New makes a loop; Run starts it once its parts are set.
-func New(r *core.Reducer) *Loop { return &Loop{reducer: r, wake: make(chan struct{}, 1)} }
+func New(r *core.Reducer) *Loop {
+	return &Loop{reducer: r, wake: make(chan struct{}, 1), traced: slog.Default().Enabled(context.Background(), slog.LevelDebug)}
+}
 
 // Connect sets the parts that effects go to: the callers by group, the counter, the board that shows the
 // plans, and who keeps them (nil: nobody).
@@ -123,6 +126,9 @@
 func (l *Loop) turn(batch []core.Event) {
 	now := Now()
 	for _, ev := range batch {
+		if o, ok := ev.(core.Outcome); ok && l.traced {
+			slog.Debug("outcome", "context", o.ID, "try", o.Try, "status", o.Status)
+		}
 		l.effects = l.reducer.Reduce(now, ev, l.effects)
 	}
 	for len(l.timers) > 0 && l.timers[0].At <= now {
@@ -147,6 +153,9 @@
 	case core.SetTimer:
 		heap.Push(&l.timers, e)
 	case core.Try:
+		if l.traced {
+			slog.Debug("try", "context", e.ID, "try", e.Key.Try, "server", e.Server, "wait", e.Wait)
+		}
 		l.callers[e.Group].Try(e)
 	case core.Abandon:
 		l.callers[e.Group].Abandon(e)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -65,6 +65,8 @@
 
 	listener *socket.Listener
 	held     atomic.Int64 // bytes of commands in hand
+	traced   bool         // each request is logged by its id: off in service
+	numbers  atomic.Uint64
 
 	mu      sync.Mutex // taken before a client connection's, never inside it
 	clients map[*clientConnection]struct{}
@@ -77,7 +79,8 @@
 // many bytes of commands (0: as many as is usual). Cores is the share of a core that it runs on (0: a whole one).
 func New(set logic.Settings, owner Owner, board *plans.Board, most int, bytes int64, cores float64) *Front {
 	f := &Front{owner: owner, set: set, classes: map[string]int{}, board: board, most: most, open: defaultOpen, bytes: defaultHeld,
-		clients: map[*clientConnection]struct{}{}, ids: map[string]struct{}{}}
+		clients: map[*clientConnection]struct{}{}, ids: map[string]struct{}{},
+		traced: slog.Default().Enabled(context.Background(), slog.LevelDebug)}
 	if set.MaxOpen > 0 {
 		f.open = min(set.MaxOpen, 2*defaultOpen)
 	}
@@ -164,7 +167,8 @@
 func (f *Front) accept(raw netpoll.Connection) context.Context {
 	defer lastwords.Guard()
 	now, conn := time.Now(), socket.Wrap(raw)
-	c := &clientConnection{front: f, conn: conn, out: socket.NewOutbox(conn), usedAt: now}
+	c := &clientConnection{front: f, number: f.numbers.Add(1), conn: conn, out: socket.NewOutbox(conn), usedAt: now}
+	c.trace("client connection accepted")
 	f.mu.Lock()
 	full := len(f.clients) >= f.most
 	f.clients[c] = struct{}{}
@@ -207,9 +211,17 @@
 	since     time.Time
 }
 
+// trace logs what becomes of a connection or of a request on it, so that one can be followed by its id.
+func (c *clientConnection) trace(what string, words ...any) {
+	if c.front.traced {
+		slog.Debug(what, append(words, "on", c.number)...)
+	}
+}
+
 // clientConnection is one connection of a client.
 type clientConnection struct {
 	front  *Front
+	number uint64 // in the log
 	conn   *socket.Conn
 	out    *socket.Outbox
 	parser resp.Parser // owned by the reading side
@@ -364,6 +376,7 @@
 	c.ending = c.ending || idle
 	c.mu.Unlock()
 	if idle {
+		c.trace("idle client connection closed")
 		c.conn.Close()
 	}
 }
@@ -408,6 +421,7 @@
 	waiting := c.waiting
 	c.waiting = nil
 	c.mu.Unlock()
+	c.trace("client connection over", "waiting", len(waiting), "unwritten", !c.out.Empty())
 	for id, r := range waiting {
 		c.front.release(r)
 		c.front.owner.Post(core.ClientGone{ID: id})
@@ -454,6 +468,7 @@
 	}
 	c.waiting[r.id] = r
 	c.mu.Unlock()
+	c.trace("taken", "id", string(args[2]), "context", r.id, "ttl", q.TTL)
 	c.front.owner.Post(core.RequestContext{Request: q, Origin: r})
 	return false
 }
@@ -579,6 +594,7 @@
 		return
 	}
 	r.client.front.release(r)
+	r.client.trace("answered", "id", string(r.args[2]), "context", r.id, "begins", string(answer[:min(len(answer), 8)]))
 	r.client.fill(r.slot, answer)
 }
 
