A planned restart closes behind the last answer and refuses at once what comes later

At fault: finish (cmd/bramblefall/serve.go) left 0.1 s after core.Closing whatever had come since, the reducer took new request contexts after Closing, and Front.Drain closed idle connections by a walk every 10 ms only, within which a client sends again on the connection that it got its answer on. Beside it a probe that stops the process: 24 of 24 requests in the listener's queue are reset by Drain's close. Change: an outbox tells when it is empty, and a connection that owes nothing closes then; after Closing the reducer rejects request contexts in the same step; the listener closes once poll says that nothing waits, 0.15 s after idle connections closed, so that what crossed that close is taken on its new connection; connections accepted and not yet handed over count; the program leaves when no connection is left, 0.25 s after the last answers at most.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -222,8 +223,13 @@
 	l.terminate()
 	require.Equal(t, "+PONG", l.dial().do("PING"), "new connections keep coming for a moment")
 	idle.ended()
-	_, err := net.Dial("tcp", l.addr)
-	require.ErrorIs(t, err, syscall.ECONNREFUSED, "it has stopped listening")
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", l.addr)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}, patience, 10*time.Millisecond, "it stops listening")
 	close(release)
 	assert.Equal(t, "held", c.answer())
 	c.ended()
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -34,7 +34,7 @@
 
 	longestWait = 3 * time.Second        // a longer deadline counts as this at a planned restart
 	lastAnswers = 400 * time.Millisecond // after that: SIGKILL may come 300 ms later
-	lastFlush   = 100 * time.Millisecond
+	lastFlush   = 250 * time.Millisecond // for the last answers to be read; most go out at once
 )
 
 func serve(cfg config, file operator.File, o serveOptions, signals <-chan os.Signal) error {
@@ -192,14 +192,17 @@
 func finish(owner *loop.Loop, front *platform.Front, drained <-chan struct{}, ended <-chan time.Time) {
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
-	for front.Clients() > 0 || owner.Open() > 0 || drained != nil {
+	var left <-chan time.Time // nil until the last answers are given
+	for front.Clients() > 0 || left == nil && owner.Open() > 0 || drained != nil {
 		select {
 		case <-tick.C:
 		case <-drained:
 			drained = nil
 		case <-ended:
 			owner.Post(core.Closing{})
-			time.Sleep(lastFlush)
+			left = time.After(lastFlush)
+		case <-left:
+			slog.Warn("connections are cut off that do not end", "clients", front.Clients())
 			return
 		}
 	}
--- /dev/null
+++ b/internal/core/closing_test.go
@@ -0,0 +1,45 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/core"
+	"bramblefall/internal/plans"
+	"bramblefall/logic"
+)
+
+// After Closing each request context has its answer in the same step, and none is tried: its time may end after the
+// program's.
+func TestNothingIsLeftOpenAfterClosing(t *testing.T) {
+	set := logic.Settings{Gateways: 1, Zones: 1, MaxAttempts: 3, Cancelling: true, DrainGrace: time.Second,
+		Classes: []logic.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+		Plans:   []logic.Plan{{Name: "regular", Rate: 1000, Burst: 4000, Price: 1}}}
+	r := core.New(set, 1, plans.New(set.Plans, plans.DefaultLimits))
+	now := time.Hour
+	count := func(ev core.Event) (tries, answers int) {
+		for _, e := range r.Reduce(now, ev, nil) {
+			switch e.(type) {
+			case core.Try:
+				tries++
+			case core.Reject, core.Fail:
+				answers++
+			}
+		}
+		return tries, answers
+	}
+	request := func(id uint64) core.Event {
+		return core.RequestContext{Origin: nobody{}, Request: logic.Request{ID: id, Customer: id, Units: 1, Spread: 1, TTL: time.Second}}
+	}
+	count(core.UpstreamGroup{ServerList: logic.ServerList{Whole: true, Servers: []logic.Server{{ID: 1, Weight: 1, State: logic.Ready}, {ID: 2, Weight: 1, State: logic.Ready}}}})
+	tries, answers := count(request(1))
+	require.Equal(t, []int{1, 0}, []int{tries, answers})
+	_, answers = count(core.Closing{})
+	require.Equal(t, 1, answers)
+	for id := uint64(2); id < 10; id++ {
+		tries, answers = count(request(id))
+		require.Equal(t, []int{0, 1}, []int{tries, answers}, "request %d", id)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -55,7 +55,7 @@
 // ClientGone says that a request context's client no longer waits (event).
 type ClientGone struct{ ID uint64 }
 
-// Closing says that the limiter is about to end: what is open is answered now (event).
+// Closing says that the limiter is about to end: what is open is answered now, and what comes later at once (event).
 type Closing struct{}
 
 // Effect is one of the types below that end in a comment "effect".
@@ -171,6 +171,7 @@
 	groups   map[logic.ServerID]int
 	next     uint64
 	effects  []Effect
+	closing  bool
 	moot     []logic.Outcome // of tries that could not be made, for the module's next turn
 }
 
@@ -191,6 +192,10 @@
 	r.now, r.effects = max(r.now, now), effects
 	switch e := ev.(type) {
 	case RequestContext:
+		if r.closing { // its time may end after the program's
+			r.do(Reject{Origin: e.Origin})
+			break
+		}
 		r.requests[e.ID] = &requestContext{origin: e.Origin, group: e.Group, deadline: r.now + e.TTL}
 		r.tally.count(r.book.Current().Number)
 		r.tell(e.Request)
@@ -203,6 +208,7 @@
 	case ClientGone:
 		r.clientGone(e.ID)
 	case Closing:
+		r.closing = true
 		r.tell(logic.Closing{})
 	case Ask:
 		r.ask(e)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -157,7 +157,7 @@
 		}
 		return
 	}
-	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn), wrote: time.Now()}
+	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn, nil), wrote: time.Now()}
 	c.replace(l)
 	conn.Serve(l.onRequest, l.closed)
 	for _, e := range waiting {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -27,6 +27,7 @@
 
 const (
 	drainGrace  = 450 * time.Millisecond // clients hear of a planned restart so late
+	crossGrace  = 150 * time.Millisecond // then for requests that crossed the close of an idle connection and come again
 	drainEvery  = 10 * time.Millisecond
 	mostWaiting = 1024     // commands on one connection without an answer yet
 	defaultOpen = 16384    // requests in hand at once, where the settings name no number
@@ -64,12 +65,14 @@
 	lag     time.Duration // that an answer may be late by, on this share of a core
 
 	listener *socket.Listener
+	leaving  atomic.Bool  // a connection closes as soon as nothing is owed on it
 	held     atomic.Int64 // bytes of commands in hand
 	traced   bool         // each request is logged by its id: off in service
 	numbers  atomic.Uint64
 
 	mu      sync.Mutex // taken before a client connection's, never inside it
 	clients map[*clientConnection]struct{}
+	entered int // connections that have been among the clients
 
 	idsMu sync.Mutex
 	ids   map[string]struct{} // of the requests in hand
@@ -141,37 +144,46 @@
 	return all
 }
 
-// Drain ends the front at a planned restart: new connections are taken for a little longer, then each
-// connection is closed as soon as nothing is owed on it.
+// Drain ends the front at a planned restart. For a little longer all goes on, since clients hear late of it. Then each
+// connection closes as soon as nothing is owed on it: at once, or right behind its last answer, before its client
+// can send on it again. Last the listener closes, once nothing waits there: a connection that the machine has accepted
+// may hold a whole request.
 func (f *Front) Drain() {
 	time.Sleep(drainGrace)
-	if err := f.listener.Close(); err != nil {
-		slog.Warn("cannot stop listening", "err", err)
-	}
+	f.leaving.Store(true)
 	lastwords.Go(func() {
-		for ; f.Clients() > 0; time.Sleep(drainEvery) {
+		for ; ; time.Sleep(drainEvery) {
 			for _, c := range f.all() {
-				c.closeIdle()
+				c.leave()
 			}
 		}
 	})
+	time.Sleep(crossGrace)
+	for until := time.Now().Add(drainGrace); f.listener.Waiting() && time.Now().Before(until); {
+		time.Sleep(time.Millisecond) // for longer only where no descriptor is left for them
+	}
+	if err := f.listener.Close(); err != nil {
+		slog.Warn("cannot stop listening", "err", err)
+	}
 }
 
-// Clients is how many client connections are open.
+// Clients is how many client connections are open, those included that are accepted and not handed over yet.
 func (f *Front) Clients() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.clients)
+	return len(f.clients) + f.listener.Accepted() - f.entered
 }
 
 func (f *Front) accept(raw netpoll.Connection) context.Context {
 	defer lastwords.Guard()
 	now, conn := time.Now(), socket.Wrap(raw)
-	c := &clientConnection{front: f, number: f.numbers.Add(1), conn: conn, out: socket.NewOutbox(conn), usedAt: now}
+	c := &clientConnection{front: f, number: f.numbers.Add(1), conn: conn, usedAt: now}
+	c.out = socket.NewOutbox(conn, c.leave)
 	c.trace("client connection accepted")
 	f.mu.Lock()
 	full := len(f.clients) >= f.most
 	f.clients[c] = struct{}{}
+	f.entered++
 	f.mu.Unlock()
 	if full {
 		f.evict(c)
@@ -256,11 +268,12 @@
 	c.mu.Unlock()
 	c.read(ending, now)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.reading = false
 	if partial := c.parser.Buffered() > 0; partial != c.partial {
 		c.partial, c.partAt = partial, now
 	}
+	c.mu.Unlock()
+	c.leave() // what was read may have been answered already
 }
 
 // read takes the bytes that have come and handles the commands that are whole. When the connection is ending it only
@@ -381,6 +394,16 @@
 	}
 }
 
+// leave closes the connection at a planned restart if nothing is owed on it. One that has just come is about to speak.
+func (c *clientConnection) leave() {
+	if !c.front.leaving.Load() {
+		return
+	}
+	if i := c.idle(); i.is && (i.spoke || time.Since(i.since) > aboutToSpeak) {
+		c.closeIdle()
+	}
+}
+
 // tend ends what a client keeps open without a word: a connection that brings no whole command, or not the rest of
 // one, and one that nobody uses any more. Guards the descriptors; such a client is owed an end in time.
 func (c *clientConnection) tend(now time.Time) {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -131,12 +131,13 @@
 func (c *Conn) Quiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.over || !c.raw.IsActive() || c.raw.Reader().Len() > 0 {
+	if c.over || !c.raw.IsActive() {
 		return false
 	}
+	// The kernel first: what the poller takes from it between the two questions is in the buffer by the second.
 	var one [1]byte
 	_, _, err := syscall.Recvfrom(c.raw.(netpoll.Conn).Fd(), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return err == syscall.EAGAIN
+	return err == syscall.EAGAIN && c.raw.Reader().Len() == 0
 }
 
 // Refuse ends a connection that OnPrepare has been handed and that is not registered with the poller yet. Closing it
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -3,17 +3,20 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // Listener takes connections for netpoll and can be closed while netpoll watches it. netpoll's own holds a copy of the
 // descriptor that its Close closes twice, and the second time it may be another connection's.
 type Listener struct {
 	*net.TCPListener
-	raw syscall.RawConn
-	fd  int
+	raw      syscall.RawConn
+	fd       int
+	accepted atomic.Int64
 }
 
 // Listen opens the address.
@@ -52,7 +55,9 @@
 	var err error
 	// Control keeps a close out until it returns.
 	if l.raw.Control(func(of uintptr) {
-		fd, peer, err = syscall.Accept4(int(of), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+		if fd, peer, err = syscall.Accept4(int(of), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err == nil {
+			l.accepted.Add(1)
+		}
 	}) != nil {
 		return nil, errOver
 	}
@@ -67,6 +72,19 @@
 	return &accepted{fd: fd, local: l.Addr(), remote: address(peer)}, nil
 }
 
+// Accepted is how many connections have been taken. After a close it stays as it is.
+func (l *Listener) Accepted() int { return int(l.accepted.Load()) }
+
+// Waiting tells whether a connection waits to be accepted.
+func (l *Listener) Waiting() (waits bool) {
+	_ = l.raw.Control(func(fd uintptr) {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(polled, 0)
+		waits = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+	})
+	return waits
+}
+
 func address(s syscall.Sockaddr) net.Addr {
 	switch s := s.(type) {
 	case *syscall.SockaddrInet4:
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -22,7 +22,8 @@
 // Outbox writes to one connection. Writers never wait: a goroutine that lives while there is something to
 // write flushes all that came meanwhile at once.
 type Outbox struct {
-	conn *Conn
+	conn    *Conn
+	emptied func() // nil, or told when all that was queued has been written
 
 	mu       sync.Mutex
 	waiting  []byte
@@ -31,10 +32,10 @@
 	broken   bool
 }
 
-// NewOutbox makes the outbox of a connection.
-func NewOutbox(conn *Conn) *Outbox {
+// NewOutbox makes the outbox of a connection. Emptied, if any, is told whenever all that was queued has been written.
+func NewOutbox(conn *Conn, emptied func()) *Outbox {
 	conn.WriteLimit(writeLimit)
-	return &Outbox{conn: conn}
+	return &Outbox{conn: conn, emptied: emptied}
 }
 
 // Write queues bytes; they are copied.
@@ -77,6 +78,13 @@
 }
 
 func (o *Outbox) flush() {
+	if o.write() && o.emptied != nil {
+		o.emptied()
+	}
+}
+
+// write writes all that is queued. It tells whether the connection goes on.
+func (o *Outbox) write() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for len(o.waiting) > 0 && !o.broken {
@@ -92,4 +100,5 @@
 		o.broken = true
 		lastwords.Go(o.conn.Close) // in its own goroutine: close callbacks take their owners' locks
 	}
+	return !o.broken
 }
