SIGTERM waits for no reload and cannot be dropped behind SIGHUPs

Seen: with a pipe for a configuration file, a limiter that reads it again at SIGHUP takes no notice of SIGTERM for as long as the read lasts (20 s in the test, and it was killed). The signals shared one channel of four, read by the goroutine that reloads; a SIGTERM behind four SIGHUPs is dropped by the runtime. At fault: the loop over signals in serve. Change: SIGTERM and SIGINT have a channel of their own; reloads have a goroutine, and go on while the limiter drains, since discovery may move meanwhile. Tests: that one, seen to fail before; and hard moments of a planned restart (told twice, before it is ready, a pipeline, a client that does not read or closes its sending side, no descriptor left, discovery and counter away), which hold already since.

--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -107,8 +107,9 @@
 
 // serveCommand reads all that the limiter is told and serves.
 func serveCommand(o serveOptions) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // before all else: a SIGHUP must not end it
+	told := signals{make(chan os.Signal, 1), make(chan os.Signal, 1)}
+	signal.Notify(told.end, syscall.SIGTERM, syscall.SIGINT) // before all else: a SIGHUP must not end it
+	signal.Notify(told.again, syscall.SIGHUP)
 	var least slog.Level
 	if err := least.UnmarshalText([]byte(o.level)); err != nil {
 		return usageError{err}
@@ -130,9 +131,13 @@
 			return err
 		}
 	}
-	return serve(cfg, file, o, signals)
+	return serve(cfg, file, o, told)
 }
 
+// signals are what the platform says. Each kind has a channel of its own: an end must not be dropped behind others, nor wait
+// until the files are read.
+type signals struct{ end, again chan os.Signal }
+
 // readOperator reads the operators' file; "": there is none.
 func readOperator(path string) (operator.File, error) {
 	if path == "" {
--- a/cmd/bramblefall/restart_test.go
+++ b/cmd/bramblefall/restart_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -10,6 +14,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // stopped does something while the limiter's process stands still, and for at least so long.
@@ -80,3 +85,146 @@
 	await(t, l.ended, "the program's end")
 	assert.Zero(t, l.cmd.ProcessState.ExitCode())
 }
+
+// SIGTERM goes before a configuration that is still being read, at the start or again. The file is a pipe, so the
+// limiter reads until the test writes.
+func TestAPlannedRestartWhileTheConfigurationIsRead(t *testing.T) {
+	t.Parallel()
+	w := world{settings: settings(), servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}}
+	t.Run("again", func(t *testing.T) {
+		t.Parallel()
+		l := start(t, w)
+		require.NoError(t, os.Remove(l.path))
+		require.NoError(t, syscall.Mkfifo(l.path, 0o600))
+		for range 8 { // more than are kept for later
+			require.NoError(t, l.cmd.Process.Signal(syscall.SIGHUP))
+		}
+		pipe, err := os.OpenFile(l.path, os.O_WRONLY, 0) // waits for its reader
+		require.NoError(t, err)
+		defer pipe.Close()
+		c := l.dial()
+		l.terminate()
+		l.says("msg=draining")
+		assert.Equal(t, "v", c.do(ask("01")...))
+		await(t, l.ended, "the program's end")
+		assert.Zero(t, l.cmd.ProcessState.ExitCode())
+	})
+	t.Run("at the start", func(t *testing.T) {
+		t.Parallel()
+		path := filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, syscall.Mkfifo(path, 0o600))
+		cmd := exec.Command(binary, "-config", path)
+		require.NoError(t, cmd.Start())
+		t.Cleanup(func() { _ = cmd.Process.Kill() })
+		pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+		require.NoError(t, err)
+		require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, json.NewEncoder(pipe).Encode(w.config()))
+		require.NoError(t, pipe.Close())
+		ended := make(chan error, 1)
+		go func() { ended <- cmd.Wait() }()
+		assert.NoError(t, await(t, ended, "the program's end"))
+	})
+}
+
+// What a planned restart may meet: each time the request that is held is answered, and the program ends with code 0.
+func TestHardMomentsOfAPlannedRestart(t *testing.T) {
+	t.Parallel()
+	large := strings.Repeat("p", 64<<10)
+	for name, moment := range map[string]func(t *testing.T, l *limiter, release func()){
+		"told twice": func(_ *testing.T, l *limiter, release func()) {
+			l.terminate()
+			l.says("msg=draining")
+			l.terminate()
+			release()
+		},
+		"a pipeline of commands": func(t *testing.T, l *limiter, release func()) {
+			c := l.dial()
+			var all strings.Builder
+			for k := range 100 {
+				all.WriteString(command(ask(fmt.Sprintf("%03x", k))...))
+			}
+			c.write(all.String())
+			l.terminate()
+			release()
+			for k := range 100 {
+				require.Equal(t, "v", c.answer(), "command %d", k)
+			}
+			c.ended()
+		},
+		"a client that does not read": func(t *testing.T, l *limiter, release func()) {
+			deaf := l.dial()
+			require.NoError(t, deaf.conn.(*net.TCPConn).SetReadBuffer(4<<10))
+			for k := range 100 {
+				deaf.write(command(ask(fmt.Sprintf("%08x", k))...))
+			}
+			l.terminate()
+			release()
+		},
+		"a client that closes its sending side": func(t *testing.T, l *limiter, release func()) {
+			c := l.dial()
+			c.write(command(ask("0a")...))
+			l.terminate()
+			require.NoError(t, c.conn.(*net.TCPConn).CloseWrite()) // it counts as gone: whether it has its answer is open
+			release()
+		},
+		"no descriptor is left": func(t *testing.T, l *limiter, release func()) {
+			pid := l.cmd.Process.Pid
+			open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+			require.NoError(t, err)
+			require.NoError(t, unix.Prlimit(pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: uint64(len(open)), Max: uint64(len(open))}, nil))
+			for range 20 {
+				_ = l.dial() // they wait in the queue, for as long as there is one
+			}
+			l.says("too many open files")
+			l.terminate()
+			l.says("msg=draining")
+			release()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			held := make(chan struct{})
+			s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+				if len(args[2]) == 2 {
+					<-held
+				}
+				text := "v"
+				if len(args[2]) == 8 {
+					text = large
+				}
+				value(text)(conn, args)
+			})
+			l := start(t, world{servers: []*server{s}})
+			c := l.dial()
+			c.write(command(post("01")...))
+			require.Eventually(t, func() bool { return len(s.seen()) == 1 }, patience, time.Millisecond)
+			moment(t, l, func() { close(held) })
+			assert.Equal(t, "v", c.answer())
+			c.ended()
+			await(t, l.ended, "the program's end")
+			assert.Zero(t, l.cmd.ProcessState.ExitCode())
+		})
+	}
+}
+
+// Discovery and the counter are away at a planned restart: nobody listens at their addresses.
+func TestAPlannedRestartAlone(t *testing.T) {
+	t.Parallel()
+	held := make(chan struct{})
+	s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		<-held
+		value("v")(conn, args)
+	})
+	away := acceptOn(t, func(net.Conn) {}) // each connection ends at once
+	l := start(t, world{servers: []*server{s}, counter: &quotaCounter{addr: away}, registry: &registry{addr: away}})
+	c := l.dial()
+	c.write(command(post("01")...))
+	require.Eventually(t, func() bool { return len(s.seen()) == 1 }, patience, time.Millisecond)
+	l.terminate()
+	l.says("msg=draining")
+	close(held)
+	assert.Equal(t, "v", c.answer())
+	await(t, l.ended, "the program's end")
+	assert.Zero(t, l.cmd.ProcessState.ExitCode())
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -4,10 +4,8 @@
 	"context"
 	"log/slog"
 	"math"
-	"os"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"bramblefall/internal/admin"
@@ -37,7 +35,7 @@
 	lastFlush   = 250 * time.Millisecond // for the last answers to be read; most go out at once
 )
 
-func serve(cfg config, file operator.File, o serveOptions, signals <-chan os.Signal) error {
+func serve(cfg config, file operator.File, o serveOptions, told signals) error {
 	if cfg.Limits.Cores > 0 {
 		// On one core, a second scheduler thread only wakes and parks: measured, a sixth more CPU on a calm day.
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
@@ -101,12 +99,12 @@
 	lastwords.Go(func() { front.Run(ctx) })
 	slog.Info("serving", "name", cfg.Name, "listen", at)
 
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	lastwords.Go(func() {
+		for range told.again { // also while it drains: discovery may move meanwhile
+			reload(o, owner, list, counts)
 		}
-		reload(o, owner, list, counts)
-	}
+	})
+	<-told.end
 	ended := time.After(lastAnswersAfter(cfg.settings.Classes))
 	slog.Info("draining", "open", owner.Open())
 	drained := make(chan struct{})
