A fleet of twelve restarted under load: every request that was taken has its answer

Need: a planned restart proven by several processes, by id. Twelve limiters are restarted three at a time, two of each three stopped over the steps of it, under 32 clients that open connections all the while; two nodes of eight never answer. What the limiters log as taken has its one whole answer, all end with code 0, and of new connections at most one in 200 is closed without a word.

--- a/cmd/bramblefall/drain_test.go
+++ b/cmd/bramblefall/drain_test.go
@@ -29,6 +29,7 @@
 	world    *standin.World
 	limiters []*standin.Limiter
 	configs  []object
+	args     []string // of the program, beside its configuration
 	ids      atomic.Int64
 }
 
@@ -68,7 +69,7 @@
 
 // start starts a limiter, for the first time or again.
 func (f *fleet) start(t *testing.T, k int) *standin.Limiter {
-	l, err := standin.Start(binary, t.TempDir(), f.configs[k])
+	l, err := standin.Start(binary, t.TempDir(), f.configs[k], f.args...)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		l.Kill()
--- /dev/null
+++ b/cmd/bramblefall/rolling_test.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/standin"
+)
+
+const (
+	rolledLimiters = 12
+	rolledAtOnce   = 3
+	rollClients    = 32
+	standsStill    = 700 * time.Millisecond // over the waits of a planned restart up to the end of listening
+	neverAnswers   = 12 * time.Second       // longer than any client waits
+)
+
+// rolling is a fleet that is restarted while clients open new connections to it all the while.
+type rolling struct {
+	*fleet
+	mu       sync.Mutex
+	all      []*standin.Limiter // with those that have ended
+	answered map[string]bool    // by id: with a whole answer in time; false: its connection ended before
+	refused  int                // connections
+	crossed  int                // requests on a connection used before, which was closed meanwhile
+	unheard  int                // new connections that were closed with no answer
+	served   int
+}
+
+func (r *rolling) limiter(k int) *standin.Limiter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.limiters[k]
+}
+
+func (r *rolling) renew(t *testing.T, k int) {
+	l := r.start(t, k)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limiters[k] = l
+	r.all = append(r.all, l)
+}
+
+// client asks limiters by chance, each over a new connection that it then uses again a few times.
+func (r *rolling) client(rng *rand.Rand, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		conn, err := net.Dial("tcp", r.limiter(rng.IntN(rolledLimiters)).Addr)
+		if err != nil {
+			r.mu.Lock()
+			r.refused++
+			r.mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		in := bufio.NewReader(conn)
+		n, goes := 0, true
+		for most := 1 + rng.IntN(20); n < most && goes; n++ {
+			goes = r.one(rng, conn, in)
+			time.Sleep(time.Duration(max(0, rng.IntN(40)-20)) * time.Millisecond) // half of the time it goes on at once
+		}
+		r.mu.Lock()
+		switch {
+		case goes:
+		case n == 1:
+			r.unheard++
+		default:
+			r.crossed++
+		}
+		r.mu.Unlock()
+		_ = conn.Close()
+	}
+}
+
+// one asks for one value and tells whether its whole answer came.
+func (r *rolling) one(rng *rand.Rand, conn net.Conn, in *bufio.Reader) bool {
+	id := fmt.Sprintf("%016x", r.ids.Add(1))
+	args := standin.Command(rng, id)
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, err := conn.Write([]byte(command(text(args)...)))
+	line := ""
+	if err == nil {
+		line, err = in.ReadString('\n')
+	}
+	if err == nil && line[0] == '$' {
+		value := ""
+		if value, err = in.ReadString('\n'); err == nil && value != id+"\r\n" {
+			err = fmt.Errorf("the value %q for request %s", value, id)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered[id] = err == nil
+	if err == nil && line[0] == '$' {
+		r.served++
+	}
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+		r.world.Audit.Find("request %s: %v", id, err)
+	}
+	return err == nil
+}
+
+func text(args [][]byte) (words []string) {
+	for _, a := range args {
+		words = append(words, string(a))
+	}
+	return words
+}
+
+var takenID = regexp.MustCompile(`msg=taken id=(\S+)`)
+
+// A dozen limiters are restarted a few at a time, some of which stand still over the steps of it, while clients open
+// connections all the while and use them again at once, and two nodes of eight never answer. The limiters log what they
+// take: each request that one has taken has its one whole answer, and every process ends with code 0.
+func TestAFleetRestartedUnderLoadAnswersAllThatItTook(t *testing.T) {
+	t.Parallel()
+	r := &rolling{answered: map[string]bool{}}
+	r.fleet = startFleet(t, 8, func(f *fleet, _ int, _ object) { f.args = []string{"-log", "debug"} },
+		make([]func(int) standin.Trouble, rolledLimiters)...)
+	r.all = append(r.all, r.limiters...)
+	for k, n := range r.world.Nodes {
+		n.Handle = func(_ *standin.Node, args [][]byte) ([]byte, bool, time.Duration) {
+			if k%4 == 1 {
+				return nil, true, neverAnswers
+			}
+			return standin.Value(string(args[2])), true, 20 * time.Millisecond
+		}
+	}
+	stop := make(chan struct{})
+	var asking sync.WaitGroup
+	for k := range rollClients {
+		asking.Go(func() { r.client(rand.New(rand.NewPCG(1, uint64(k))), stop) })
+	}
+	time.Sleep(time.Second)
+	for first := 0; first < rolledLimiters; first += rolledAtOnce {
+		var group sync.WaitGroup
+		for k := first; k < first+rolledAtOnce; k++ {
+			l := r.limiter(k)
+			require.NoError(t, l.Signal(syscall.SIGTERM))
+			group.Go(func() {
+				if k > first { // the others go through it undisturbed
+					time.Sleep(time.Duration(k-first) * 200 * time.Millisecond)
+					_ = l.Signal(syscall.SIGSTOP)
+					time.Sleep(standsStill)
+					_ = l.Signal(syscall.SIGCONT)
+				}
+				<-l.Ended
+			})
+		}
+		group.Wait()
+		for k := first; k < first+rolledAtOnce; k++ {
+			r.renew(t, k)
+		}
+	}
+	close(stop)
+	asking.Wait()
+	found, times := r.world.Audit.Findings()
+	require.Zero(t, times, strings.Join(found, "\n"))
+	taken, lost := 0, []string(nil)
+	for k, l := range r.all {
+		for _, m := range takenID.FindAllStringSubmatch(l.Log(), -1) {
+			if taken++; !r.answered[m[1]] {
+				lost = append(lost, fmt.Sprintf("%s by life %d", m[1], k))
+			}
+		}
+		if k < rolledLimiters {
+			assert.Zero(t, l.Cmd.ProcessState.ExitCode(), "limiter %d", k)
+		}
+	}
+	t.Logf("%d requests, %d taken, %d served, %d crossed a close; %d connections refused, %d closed without a word", len(r.answered), taken,
+		r.served, r.crossed, r.refused, r.unheard)
+	require.Empty(t, lost, "taken and not answered")
+	require.Greater(t, r.served, 1000, "this shows little")
+	require.LessOrEqual(t, r.unheard*200, len(r.answered), "new connections closed with no answer")
+}
