Any number of endpoints may be listed; a list of 1,024 limiters and servers is tested

Need: no list of limiters or servers may be cut below 1,024. Read: every fixed figure in cmd, internal, logic, lab, model and stand-ins. One was a cap: mostEndpoints (64) in internal/ratelimit left the 65th endpoint of a service of others out. mostConns (128) held callers' connections, whatever the descriptors. No caps, and now said so where they stand: mostLooked (a sample of servers for one attempt), mostSum (a firm that comes through more than 127 limiters keeps even parts). Change: an endpoint is connected when its first call comes, and past a sixteenth of the descriptors (64 at least) the one unused longest is given up; callers have an eighth (128 at least). Test: 1,024 servers known at the start and by discovery, a firm through 1,024 limiters on both fronts, 1,024 endpoints, of each the first 768 draining: what is beyond serves.

--- a/cmd/bramblefall/ratelimit_test.go
+++ b/cmd/bramblefall/ratelimit_test.go
@@ -51,19 +51,24 @@
 		file["others"] = object{"cluster": "limits", "clusters": "cds.json", "endpoints": "eds.json"}
 		writeJSON(t, filepath.Join(dir, "cds.json"), object{"resources": []object{{
 			"@type": "type.googleapis.com/envoy.config.cluster.v3.Cluster", "name": "limits", "type": "EDS"}}})
-		writeEndpoints(t, dir, others...)
+		writeEndpoints(t, dir, 0, others...)
 	}
 	return writeJSON(t, filepath.Join(dir, "ratelimit.json"), file)
 }
 
-func writeEndpoints(t *testing.T, dir string, addrs ...string) {
+// writeEndpoints names endpoints, of which the first so many drain.
+func writeEndpoints(t *testing.T, dir string, drain int, addrs ...string) {
 	all := []object{}
-	for _, addr := range addrs {
+	for k, addr := range addrs {
 		host, port, err := net.SplitHostPort(addr)
 		require.NoError(t, err)
 		n, err := strconv.Atoi(port)
 		require.NoError(t, err)
-		all = append(all, object{"endpoint": object{"address": object{"socket_address": object{"address": host, "port_value": n}}}})
+		e := object{"endpoint": object{"address": object{"socket_address": object{"address": host, "port_value": n}}}}
+		if k < drain {
+			e["health_status"] = "DRAINING"
+		}
+		all = append(all, e)
 	}
 	writeJSON(t, filepath.Join(dir, "eds.json"), object{"resources": []object{{
 		"@type":        "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
@@ -111,14 +116,20 @@
 	}
 }
 
-func (o *others) listen(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+func (o *others) listen(t *testing.T) string { return o.listenOn(t, 1)[0] }
+
+// listenOn serves at so many addresses.
+func (o *others) listenOn(t *testing.T, n int) (addrs []string) {
 	s := grpc.NewServer()
 	rlsv3.RegisterRateLimitServiceServer(s, o)
-	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Stop)
-	return l.Addr().String()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() { _ = s.Serve(l) }()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs
 }
 
 func smallQuota(burst float64) object {
@@ -436,7 +447,7 @@
 		return assert.NoError(t, err)
 	}
 	require.True(t, ask())
-	writeEndpoints(t, filepath.Dir(file), b.listen(t))
+	writeEndpoints(t, filepath.Dir(file), 0, b.listen(t))
 	require.Eventually(t, func() bool { return ask() && b.calls() > 0 }, patience, 10*time.Millisecond)
 	before := a.calls()
 	require.True(t, ask())
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -46,8 +46,9 @@
 	}
 	most := max(cfg.Limits.Sockets, fewDescriptors) - ownDescriptors
 	service := newRateLimit(file.RateLimit)
+	callers, endpoints := ratelimit.Descriptors(most)
 	if service != nil {
-		most = max(most-ratelimit.Descriptors, fewDescriptors)
+		most = max(most-callers-endpoints, fewDescriptors)
 	}
 	if file.Admin != nil {
 		most = max(most-admin.Descriptors, fewDescriptors)
@@ -66,11 +67,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	counts := counter.New(cfg.Counter, owner.Post, loop.Now)
-	callers := []loop.Caller{pool} // by group
+	groups := []loop.Caller{pool}
 	if service != nil {
-		callers = append(callers, service.prepare(cfg.settings, owner, board))
+		groups = append(groups, service.prepare(cfg.settings, owner, board, callers, endpoints))
 	}
-	owner.Connect(callers, counts, board, keeper)
+	owner.Connect(groups, counts, board, keeper)
 	owner.Begin()
 	list.Known(cfg.Known)
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
--- /dev/null
+++ b/cmd/bramblefall/size_test.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	aThousand = 1024 // limiters, servers or endpoints: no list of them may be cut before
+	drainedOf = 768  // of the servers, the first in the list: what is served came from beyond
+	sizeCap   = 64   // MB
+)
+
+var highWater = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// fits looks at what the limiter's process holds.
+func (l *limiter) fits(descriptors int) {
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", l.cmd.Process.Pid))
+	require.NoError(l.t, err)
+	assert.LessOrEqual(l.t, len(open), descriptors)
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", l.cmd.Process.Pid))
+	require.NoError(l.t, err)
+	words := highWater.FindSubmatch(raw)
+	require.NotNil(l.t, words)
+	kb, err := strconv.Atoi(string(words[1]))
+	require.NoError(l.t, err)
+	l.t.Logf("%d MB, %d descriptors", kb>>10, len(open))
+	assert.Less(l.t, kb>>10, sizeCap)
+}
+
+// A list of 1,024 limiters and 1,024 servers is taken by every front and part, within a small cap on memory and on
+// descriptors, and a limiter that has it ends as any other.
+func TestListsOfAThousand(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["balancers"], set["rank"] = aThousand, aThousand-1
+	set["tariffs"] = []object{plan("regular", 1e6, 4e6, 0)} // a limiter's part of it holds nobody up
+	var all []*server
+	for k := range aThousand {
+		s := newServer(t, fmt.Sprintf("s-%04d", k), []string{"hall-a", "hall-b"}[k%2], value(fmt.Sprintf("%04d", k)))
+		if k < drainedOf {
+			s.state = "draining"
+		}
+		all = append(all, s)
+	}
+	served := func(t *testing.T, l *limiter) {
+		c := l.dial()
+		for k := 0; k < 100; {
+			args := ask(fmt.Sprintf("%06x", 1+k))
+			args[3] = fmt.Sprintf("c=balance-read,t=regular,d=4000,units=1,spread=%d,first=%d", aThousand, aThousand-1)
+			text := c.do(args...)
+			if n, err := strconv.Atoi(text); err == nil {
+				require.GreaterOrEqual(t, n, drainedOf)
+				k++
+			} else {
+				require.Regexp(t, "^-BUSY", text, "before the list has come, or where a server is tried first")
+			}
+		}
+		l.fits(128)
+	}
+	for name, play := range map[string]func(t *testing.T) *limiter{
+		"known at the start": func(t *testing.T) *limiter {
+			l := start(t, world{settings: set, servers: all, memory: sizeCap})
+			served(t, l)
+			return l
+		},
+		"listed by discovery": func(t *testing.T) *limiter {
+			r := newRegistry(t)
+			r.tell(2, true, all...)
+			l := start(t, world{settings: set, registry: r, counter: newCounter(t), memory: sizeCap})
+			served(t, l)
+			return l
+		},
+		"limiters of a gRPC call": func(t *testing.T) *limiter {
+			l := start(t, world{settings: set, second: second(t), memory: sizeCap})
+			_, err := l.service().ShouldRateLimit(inTime(t), call(descriptor("firm", "a1", "tier", "regular", "class", "balance-read",
+				"spread", strconv.Itoa(aThousand), "first", strconv.Itoa(aThousand-1))))
+			require.NoError(t, err)
+			return l
+		},
+		"endpoints of a service of others": func(t *testing.T) *limiter {
+			others, last := &others{answer: verdictOf(within)}, &others{answer: verdictOf(within)}
+			file := second(t, "127.0.0.1:1")
+			writeEndpoints(t, filepath.Dir(file), drainedOf, append(others.listenOn(t, aThousand-1), last.listen(t))...)
+			l := start(t, world{second: file, memory: sizeCap})
+			s, firm := l.service(), 0
+			require.Eventually(t, func() bool { // one of those that do not drain is asked, by chance
+				firm++
+				_, err := s.ShouldRateLimit(inTime(t), call(of(fmt.Sprintf("%x", firm))))
+				return assert.NoError(t, err) && last.calls() > 0
+			}, patience, 1)
+			l.fits(128 + 128)
+			return l
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := play(t)
+			l.terminate()
+			await(t, l.ended, "the program's end")
+			assert.Zero(t, l.cmd.ProcessState.ExitCode())
+		})
+	}
+}
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -22,26 +22,32 @@
 )
 
 const (
-	mostEndpoints = 64 // each has one connection: they are budgeted under the cap on descriptors
-	mostAnswer    = 64 << 10
-	firstRetry    = 100 * time.Millisecond // of a connection; the library's own goes up to two minutes
-	lastRetry     = 2 * time.Second
-	connectLimit  = time.Second
+	mostAnswer   = 64 << 10
+	firstRetry   = 100 * time.Millisecond // of a connection; the library's own goes up to two minutes
+	lastRetry    = 2 * time.Second
+	connectLimit = time.Second
 )
 
 // Caller makes the tries of the group of others' rate limit services: each is one call to the endpoint that the
 // module chose.
+//
+// Any number of endpoints may be listed. One is connected when its first call comes; past so many connections the one
+// that has been unused longest is given up, since descriptors are few.
 type Caller struct {
 	post func(core.Event)
+	most int // connections
 
 	mu        sync.Mutex
 	endpoints map[logic.ServerID]*endpoint
+	connected int
 	tries     map[core.Key]*pending
 }
 
 type endpoint struct {
 	addr   string
-	client *grpc.ClientConn
+	client *grpc.ClientConn // nil: none is needed yet
+	out    int              // calls on it
+	used   time.Time
 }
 
 // pending is a try that is out.
@@ -51,9 +57,9 @@
 	sent   atomic.Bool  // something of it may have left
 }
 
-// NewCaller makes a caller without endpoints.
-func NewCaller(post func(core.Event)) *Caller {
-	return &Caller{post: post, endpoints: map[logic.ServerID]*endpoint{}, tries: map[core.Key]*pending{}}
+// NewCaller makes a caller without endpoints that holds so many connections at most.
+func NewCaller(post func(core.Event), most int) *Caller {
+	return &Caller{post: post, most: most, endpoints: map[logic.ServerID]*endpoint{}, tries: map[core.Key]*pending{}}
 }
 
 // SetAddress says where an endpoint listens.
@@ -64,24 +70,54 @@
 	if e != nil && e.addr == addr {
 		return
 	}
-	if e == nil && len(c.endpoints) >= mostEndpoints {
-		slog.Warn("too many endpoints, this one is left out", "addr", addr, "most", mostEndpoints)
-		return
+	c.drop(id)
+	c.endpoints[id] = &endpoint{addr: addr}
+}
+
+// connect makes an endpoint's connection where there is none. It fails if every one is in use.
+func (c *Caller) connect(e *endpoint) bool {
+	if e.client != nil {
+		return true
 	}
-	if e != nil {
-		c.drop(id)
+	if c.connected >= c.most && !c.evict() {
+		slog.Warn("no descriptor left for an endpoint's connection", "connected", c.connected)
+		return false
 	}
 	// No retries of the library's own: it may only redo a call that the endpoint has declared never begun.
-	client, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+	client, err := grpc.NewClient("passthrough:///"+e.addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableRetry(), grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: connectLimit,
 			Backoff: backoff.Config{BaseDelay: firstRetry, Multiplier: 2, Jitter: 0.2, MaxDelay: lastRetry}}),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostAnswer)))
 	if err != nil {
-		slog.Warn("an endpoint's address cannot be used", "addr", addr, "err", err)
-		return
+		slog.Warn("an endpoint's address cannot be used", "addr", e.addr, "err", err)
+		return false
+	}
+	e.client = client
+	c.connected++
+	return true
+}
+
+// evict gives up the connection that has been unused longest.
+func (c *Caller) evict() bool {
+	var oldest *endpoint
+	for _, e := range c.endpoints {
+		if e.client != nil && e.out == 0 && (oldest == nil || e.used.Before(oldest.used)) {
+			oldest = e
+		}
+	}
+	if oldest != nil {
+		c.hangUp(oldest)
+	}
+	return oldest != nil
+}
+
+func (c *Caller) hangUp(e *endpoint) {
+	if client := e.client; client != nil {
+		e.client = nil
+		c.connected--
+		lastwords.Go(func() { _ = client.Close() })
 	}
-	c.endpoints[id] = &endpoint{addr, client}
 }
 
 // Remove forgets an endpoint that its group no longer names. Calls in hand on it end as resets.
@@ -94,7 +130,7 @@
 func (c *Caller) drop(id logic.ServerID) {
 	if e := c.endpoints[id]; e != nil {
 		delete(c.endpoints, id)
-		lastwords.Go(func() { _ = e.client.Close() })
+		c.hangUp(e)
 	}
 }
 
@@ -103,7 +139,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e, ok := c.endpoints[t.Server]
-	if !ok {
+	if !ok || !c.connect(e) {
 		c.post(core.Outcome{Key: t.Key, Status: logic.ConnectFailed})
 		return
 	}
@@ -113,16 +149,19 @@
 	c.tries[t.Key] = p
 	origin := t.Origin.(*check)
 	origin.tried.Store(true)
-	lastwords.Go(func() { c.call(ctx, e.client, origin, t.Key, p) })
+	e.out++
+	client := e.client
+	lastwords.Go(func() { c.call(ctx, e, client, origin, t.Key, p) })
 }
 
-func (c *Caller) call(ctx context.Context, client *grpc.ClientConn, origin *check, key core.Key, p *pending) {
+func (c *Caller) call(ctx context.Context, e *endpoint, client *grpc.ClientConn, origin *check, key core.Key, p *pending) {
 	defer p.cancel()
 	answer, err := rlsv3.NewRateLimitServiceClient(client).ShouldRateLimit(ctx, &rlsv3.RateLimitRequest{
 		Domain: origin.domain, Descriptors: []*entriesv3.RateLimitDescriptor{origin.descriptor},
 		HitsAddend: uint32(origin.Units)})
 	c.mu.Lock()
 	delete(c.tries, key)
+	e.out, e.used = e.out-1, time.Now()
 	c.mu.Unlock()
 	o := core.Outcome{Key: key, Status: p.outcome(err), Value: answer}
 	if code := answer.GetOverallCode(); err == nil && code != rlsv3.RateLimitResponse_OK &&
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -37,13 +37,13 @@
 	mostCall        = 1 << 20 // bytes
 	mostUnits       = 1e6
 	mostCalls       = 1024 // at once, of one connection
-	mostConns       = 128  // of callers
 	atTheEnd        = 25 * time.Millisecond
 	crowded         = time.Second // when to come back if too many are in hand
 )
 
-// Descriptors is how many the front and the caller may hold.
-const Descriptors = mostConns + mostEndpoints
+// Descriptors is how many callers' connections the front may hold, and how many to endpoints its caller, of so many that
+// the program may have.
+func Descriptors(most int) (callers, endpoints int) { return max(most/8, 128), max(most/16, 64) }
 
 // Owner takes the events of the front.
 type Owner interface {
@@ -61,14 +61,16 @@
 	others  bool // a service of others has the last word on what is within the quotas
 	classes map[string]int
 	board   *plans.Board
+	most    int // connections of callers
 	server  *grpc.Server
 	health  *health.Server // proxies ask it whether to send calls here
 }
 
 // NewFront makes a front for the callers of a domain ("": any). With others, each request context that is within
-// its quota becomes a call to the group of such services; without, the module's word is the verdict.
-func NewFront(set logic.Settings, owner Owner, board *plans.Board, domain string, others bool) *Front {
-	f := &Front{owner: owner, set: set, domain: domain, others: others, classes: map[string]int{}, board: board}
+// its quota becomes a call to the group of such services; without, the module's word is the verdict. It holds so many
+// connections of callers at most.
+func NewFront(set logic.Settings, owner Owner, board *plans.Board, domain string, others bool, most int) *Front {
+	f := &Front{owner: owner, set: set, domain: domain, others: others, classes: map[string]int{}, board: board, most: most}
 	for k, c := range set.Classes {
 		f.classes[c.Name] = k
 	}
@@ -92,7 +94,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
-	lastwords.Go(func() { _ = f.server.Serve(netutil.LimitListener(l, mostConns)) })
+	lastwords.Go(func() { _ = f.server.Serve(netutil.LimitListener(l, f.most)) })
 	return l.Addr(), nil
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,7 +24,7 @@
 	minSpan, maxSpan   = time.Second, 2 * time.Second // of the interval: short costs calls (most: few gateways)
 	quiet              = 0.3                          // of g: who forecasts less tells nobody
 	quanta, mostQuanta = 8, 64                        // steps of g in which forecasts travel; at most 8 g
-	mostSum            = 127                          // of steps within g, and of gateways, in one number
+	mostSum            = 127                          // steps within g, gateways in one number; more: even parts
 	paceP, paceI       = 0.1, 0.1                     // a and b: spacing by the rate above the part, and by E
 
 	mostCalls, callsSaved = 1.2, 30.0          // counter calls for each request, and at once
@@ -61,7 +61,7 @@
 	coldMargin            = 0.8                          // of a warm server's load, by capacity
 	ownView               = 4.0                          // gateways up to which a gateway's own view is enough
 	nearest, candidates   = 10, 3                        // servers that one of many keeps to; drawn of these
-	mostLooked            = 100                          // servers that are looked at for one attempt
+	mostLooked            = 100                          // a sample, no cap: servers looked at for one attempt
 	logEvery              = 5 * time.Second              // between two log lines of the same kind
 
 	tickToken                       = 0          // requests' tokens start above
