A request read just before an idle connection's close is refused, not dropped

Need: of what crosses the close of an idle connection its client sends again only what was not read. Excluded: closing only after the kernel and the buffer were asked (done before) leaves the window; half-closing makes the client's next command ours to read without a way to answer. Change: what ready() or the close callback still finds is parsed, and each command refused with a write of our own before the descriptor is closed. Test: bytes that netpoll holds when we close are answered before the end; with the call of last taken out it fails.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -188,6 +188,7 @@
 	if full {
 		f.evict(c)
 	}
+	conn.Late(c.late)
 	conn.Serve(c.ready, c.closed)
 	return context.Background()
 }
@@ -250,6 +251,7 @@
 	deafAt  time.Time // since when nothing more is read
 	gone    bool
 	ending  bool // framing is lost, or the client asked for the end: nothing more is read
+	left    bool // it was idle, and is being closed: what had been taken from the kernel by then is refused
 }
 
 // slot keeps the place of a command's answer: a slow one holds back those behind it.
@@ -263,9 +265,13 @@
 func (c *clientConnection) ready() {
 	now := time.Now()
 	c.mu.Lock()
-	ending := c.ending
+	ending, left := c.ending, c.left
 	c.reading = true
 	c.mu.Unlock()
+	if left {
+		_ = c.conn.TakeSome(func(b []byte) { c.conn.Say(c.late(b)) })
+		return
+	}
 	c.read(ending, now)
 	c.mu.Lock()
 	c.reading = false
@@ -276,6 +282,28 @@
 	c.leave() // what was read may have been answered already
 }
 
+// late answers the commands in bytes that had been taken from the kernel when an idle connection was closed. Guards against a
+// request that is read and has no answer: its client sends again only what was not read.
+func (c *clientConnection) late(b []byte) (answers []byte) {
+	c.mu.Lock()
+	left := c.left
+	c.mu.Unlock()
+	if !left {
+		return nil
+	}
+	c.parser.Feed(b)
+	for {
+		args, ok, err := c.parser.Command()
+		if !ok || err != nil {
+			return answers
+		}
+		if len(args) > 0 {
+			c.trace("refused behind the end")
+			answers = append(answers, "-BUSY\r\n"...)
+		}
+	}
+}
+
 // read takes the bytes that have come and handles the commands that are whole. When the connection is ending it only
 // makes room for more.
 func (c *clientConnection) read(ending bool, now time.Time) {
@@ -386,7 +414,7 @@
 func (c *clientConnection) closeIdle() {
 	c.mu.Lock()
 	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending && c.out.Empty() && c.conn.Quiet()
-	c.ending = c.ending || idle
+	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
 		c.trace("idle client connection closed")
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -31,8 +31,10 @@
 
 	mu    sync.Mutex // keeps the descriptor from being closed, and used again, while the kernel is asked about it
 	over  bool       // the descriptor is about to be closed
+	ours  bool       // the end is ours
 	ended func()
-	told  bool // of the end
+	late  func([]byte) []byte // nil, or answers what was taken from the kernel and not told before our own end
+	told  bool                // of the end
 }
 
 // Wrap makes a Conn of a connection that a listener has accepted, in its OnPrepare callback.
@@ -53,12 +55,18 @@
 	return Wrap(raw), nil
 }
 
+// Late sets who answers bytes that had been taken from the kernel, and were not told of, when we ended the connection. It
+// is called once at most, after the last ready, and before Serve.
+func (c *Conn) Late(answer func(b []byte) []byte) { c.late = answer }
+
 // Serve sets what happens when bytes have come, one call at a time, and once, in a goroutine of its own, when the
 // connection has ended, by either side, even if that was before this call.
 func (c *Conn) Serve(ready, ended func()) {
 	c.ended = ended
 	// The end first: without a reader netpoll leaves it to us to close, so none is missed between the two.
 	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error {
+		defer lastwords.Guard()
+		c.last()
 		c.mu.Lock()
 		c.over = true // netpoll's own callback, which closes the descriptor, comes after this one
 		c.mu.Unlock()
@@ -76,6 +84,29 @@
 	}
 }
 
+// last has what lies in netpoll's buffer answered before the descriptor is closed. It runs where ready does not: netpoll
+// calls it with "processing" taken.
+func (c *Conn) last() {
+	c.mu.Lock()
+	ours := c.ours
+	c.mu.Unlock()
+	if n := c.raw.Reader().Len(); c.late != nil && ours && n > 0 {
+		if b, err := c.raw.Reader().Next(n); err == nil {
+			c.Say(c.late(b))
+		}
+	}
+}
+
+// Say writes a few bytes at once on a connection that we are ending, where Write does not go any more. Nothing else may be
+// waiting to be written.
+func (c *Conn) Say(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.over && len(b) > 0 {
+		_, _ = syscall.Write(c.raw.(netpoll.Conn).Fd(), b)
+	}
+}
+
 func (c *Conn) tell() {
 	c.mu.Lock()
 	first := !c.told
@@ -152,4 +183,9 @@
 }
 
 // Close ends the connection. It waits for a write that is under way to notice, and for no peer.
-func (c *Conn) Close() { _ = c.raw.Close() }
+func (c *Conn) Close() {
+	c.mu.Lock()
+	c.ours = true
+	c.mu.Unlock()
+	_ = c.raw.Close()
+}
--- /dev/null
+++ b/internal/socket/conn_test.go
@@ -0,0 +1,49 @@
+package socket
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/require"
+)
+
+// Bytes that netpoll has taken from the kernel, and that nobody was told of, when we end the connection: they are shown once
+// more, and what is said to them goes out before the end.
+func TestWhatWasTakenBeforeOurEndIsAnswered(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	conns, told, on, ended := make(chan *Conn, 1), make(chan struct{}), make(chan struct{}), make(chan struct{})
+	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(func(raw netpoll.Connection) context.Context {
+		c := Wrap(raw)
+		c.Late(func(b []byte) []byte { return append([]byte("late:"), b...) })
+		c.Serve(func() {
+			_ = c.Take(func([]byte) {})
+			close(told)
+			<-on // more comes meanwhile
+		}, func() { close(ended) })
+		conns <- c
+		return context.Background()
+	}))
+	require.NoError(t, err)
+	go func() { _ = events.Serve(l) }()
+	defer func() { _ = l.Close() }()
+	peer, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	_ = peer.SetDeadline(time.Now().Add(20 * time.Second))
+	_, _ = io.WriteString(peer, "first")
+	<-told
+	c := <-conns
+	_, _ = io.WriteString(peer, "second")
+	require.Eventually(t, func() bool { return c.raw.Reader().Len() == len("second") }, 20*time.Second, time.Millisecond)
+	c.Close()
+	close(on)
+	said, err := io.ReadAll(peer)
+	require.NoError(t, err)
+	require.Equal(t, "late:second", string(said))
+	<-ended
+}
