Tracing costs nothing while it is off; a limiter at its end says when to come again

Need: the words of a trace were made for every request, logged or not (a string and three boxed values twice a request); and a refusal after the last answers told no time, where the settings allow one. Change: the flag is asked before the words are made. Such a refusal tells 10 ms, as others take over at once.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -193,7 +193,7 @@
 	switch e := ev.(type) {
 	case RequestContext:
 		if r.closing { // its time may end after the program's
-			r.do(Reject{Origin: e.Origin})
+			r.do(Reject{e.Origin, Elsewhere(r.set)})
 			break
 		}
 		r.requests[e.ID] = &requestContext{origin: e.Origin, group: e.Group, deadline: r.now + e.TTL}
@@ -224,6 +224,16 @@
 	return r.effects
 }
 
+const soon = 10 * time.Millisecond
+
+// Elsewhere is when a client that a limiter at its end turns away may come again: soon, since another one takes it.
+func Elsewhere(set logic.Settings) time.Duration {
+	if !set.RetryAfter {
+		return 0
+	}
+	return min(soon, set.MaxRetryAfter)
+}
+
 // listed keeps the groups of the servers that are listed, and of no others: ids are never used again.
 func (r *Reducer) listed(l logic.ServerList) {
 	if l.Whole && !l.Failed {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -299,7 +299,7 @@
 		}
 		if len(args) > 0 {
 			c.trace("refused behind the end")
-			answers = append(answers, "-BUSY\r\n"...)
+			answers = appendBusy(answers, core.Elsewhere(c.front.set))
 		}
 	}
 }
@@ -519,7 +519,9 @@
 	}
 	c.waiting[r.id] = r
 	c.mu.Unlock()
-	c.trace("taken", "id", string(args[2]), "context", r.id, "ttl", q.TTL)
+	if c.front.traced { // asked here: the words cost more than the question
+		c.trace("taken", "id", string(args[2]), "context", r.id, "ttl", q.TTL)
+	}
 	c.front.owner.Post(core.RequestContext{Request: q, Origin: r})
 	return false
 }
@@ -645,7 +647,9 @@
 		return
 	}
 	r.client.front.release(r)
-	r.client.trace("answered", "id", string(r.args[2]), "context", r.id, "begins", string(answer[:min(len(answer), 8)]))
+	if r.client.front.traced {
+		r.client.trace("answered", "id", string(r.args[2]), "context", r.id, "begins", string(answer[:min(len(answer), 8)]))
+	}
 	r.client.fill(r.slot, answer)
 }
 
@@ -656,13 +660,13 @@
 func (r *request) Admitted() { r.Failed() }
 
 // Rejected implements core.Origin.
-func (r *request) Rejected(after time.Duration) {
-	if after <= 0 {
-		r.finish([]byte("-BUSY\r\n"))
-		return
+func (r *request) Rejected(after time.Duration) { r.finish(appendBusy(nil, after)) }
+
+func appendBusy(b []byte, after time.Duration) []byte {
+	if b = append(b, "-BUSY"...); after > 0 {
+		b = strconv.AppendInt(append(b, ' '), int64((after+time.Millisecond-1)/time.Millisecond), 10)
 	}
-	ms := (after + time.Millisecond - 1) / time.Millisecond
-	r.finish(append(strconv.AppendInt([]byte("-BUSY "), int64(ms), 10), "\r\n"...))
+	return append(b, "\r\n"...)
 }
 
 // Failed implements core.Origin.
