A configuration read again that does not fit is refused or borne, tried field by field

Need: bad settings were tried field by field at the start, not at SIGHUP, where a limiter in service has more to lose. Change: the copies of a document with one value changed moved from the settings' test to internal/fault, in an order that is always the same; a limiter in service reads a third of them (over 200 files) one after the other, answers a request after each, and serves as before once the good file is back. Nothing had to be mended.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/fault"
 )
 
 func TestCommandsArePassedOnUnchangedButForTheWait(t *testing.T) {
@@ -372,6 +374,37 @@
 	}, patience, time.Millisecond, "the new counter is asked")
 }
 
+// A configuration read again at SIGHUP in which one value is absent, of another type, zero, negative or huge is refused with
+// one line or taken; either way each request has an answer, and the good file is as good as before afterwards.
+func TestAConfigurationReadAgainThatDoesNotFitIsBorne(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["classes"] = set["classes"].([]object)[:1]
+	set["tariffs"] = set["tariffs"].([]object)[:1]
+	w := world{settings: set, servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, counter: newCounter(t), registry: newRegistry(t)}
+	l := start(t, w)
+	good, err := json.Marshal(w.config())
+	require.NoError(t, err)
+	c, refused, taken := l.dial(), "the old one is kept", "read the configuration anew"
+	read := func() int { return strings.Count(l.log.String(), refused) + strings.Count(l.log.String(), taken) }
+	mutants := 0
+	for what, raw := range fault.Mutants(good) {
+		if mutants++; mutants%3 > 0 { // a third is enough for a check of every day
+			continue
+		}
+		before := read()
+		require.NoError(t, os.WriteFile(l.path, raw, 0o600))
+		require.NoError(t, l.cmd.Process.Signal(syscall.SIGHUP))
+		require.Eventually(t, func() bool { return read() > before }, patience, time.Millisecond, what)
+		require.NotEmpty(t, c.do(ask(fmt.Sprintf("%08x", mutants))...), what)
+	}
+	require.Greater(t, mutants, 600)
+	require.Positive(t, strings.Count(l.log.String(), refused))
+	require.Positive(t, strings.Count(l.log.String(), taken))
+	l.reload(good, taken)
+	require.Eventually(t, func() bool { mutants++; return c.do(ask(fmt.Sprintf("%08x", mutants))...) == "v" }, patience, time.Millisecond)
+}
+
 func TestBadConfigurationEndsWithOneLine(t *testing.T) {
 	t.Parallel()
 	set := settings()
--- a/internal/wire/mutate_test.go
+++ b/internal/wire/mutate_test.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"bramblefall/internal/fault"
 	"bramblefall/logic"
 )
 
@@ -25,44 +25,6 @@
 "tariffs":[{"name":"starter","perSecond":1.6,"depth":16,"concurrency":0,"worthFactor":0.45,"extraWorth":0,"overCost":1.2,"hardRate":0,"hardBurst":0,"hardSlack":0},
 {"name":"busy","perSecond":8.7,"depth":32,"concurrency":3,"worthFactor":1.1,"extraWorth":0,"overCost":0.6,"hardRate":17,"hardBurst":64,"hardSlack":8}]}`
 
-// paths lists the places of all values, objects and lists included.
-func paths(v any, at []any) (all [][]any) {
-	switch v := v.(type) {
-	case map[string]any:
-		for k, x := range v {
-			all = append(all, append(paths(x, append(slices.Clone(at), k)), append(slices.Clone(at), k))...)
-		}
-	case []any:
-		for k, x := range v {
-			all = append(all, append(paths(x, append(slices.Clone(at), k)), append(slices.Clone(at), k))...)
-		}
-	}
-	return all
-}
-
-// change puts a value at a place; absent takes the place away.
-func change(v any, at []any, to any) any {
-	if len(at) == 0 {
-		return to
-	}
-	if m, ok := v.(map[string]any); ok {
-		if k := at[0].(string); len(at) == 1 && to == absent {
-			delete(m, k)
-		} else {
-			m[k] = change(m[k], at[1:], to)
-		}
-		return m
-	}
-	l, k := v.([]any), at[0].(int)
-	if len(at) == 1 && to == absent {
-		return slices.Delete(l, k, k+1)
-	}
-	l[k] = change(l[k], at[1:], to)
-	return l
-}
-
-var absent any = "\x00absent"
-
 // drive plays a second of a limiter with these settings: lists, requests of all classes and plans, outcomes, its timers.
 func drive(set logic.Settings) {
 	g := logic.New(set, 1)
@@ -102,27 +64,19 @@
 // A settings object with one value absent, of another type, zero, negative or huge must be refused with one line that names
 // the setting, or leave a limiter that works.
 func TestASettingThatDoesNotFitIsNamedOrBorne(t *testing.T) {
-	var whole any
-	require.NoError(t, json.Unmarshal([]byte(other), &whole))
 	set, err := SettingsFromJSON(json.RawMessage(other))
 	require.NoError(t, err)
 	drive(set)
 	refused, borne := 0, 0
-	for _, at := range paths(whole, nil) {
-		for _, to := range []any{absent, nil, "text", "", true, 0, -1, 0.3, 1e18, -1e300, []any{}, map[string]any{}, []any{1, "a"}} {
-			var copied any
-			require.NoError(t, json.Unmarshal([]byte(other), &copied))
-			raw, err := json.Marshal(change(copied, at, to))
-			require.NoError(t, err)
-			set, err := SettingsFromJSON(raw)
-			if err != nil {
-				require.Equal(t, 1, strings.Count(err.Error()+"\n", "\n"))
-				refused++
-				continue
-			}
-			borne++
-			require.NotPanics(t, func() { drive(set) }, "%v: %v", at, to)
+	for what, raw := range fault.Mutants([]byte(other)) {
+		set, err := SettingsFromJSON(raw)
+		if err != nil {
+			require.Equal(t, 1, strings.Count(err.Error()+"\n", "\n"))
+			refused++
+			continue
 		}
+		borne++
+		require.NotPanics(t, func() { drive(set) }, what)
 	}
 	require.Greater(t, refused, 300)
 	require.Greater(t, borne, 300)
