A try whose connection comes up late leaves nothing after its window or its time

Seen (new test, real program, unchanged code): a keyed request fails at its server, its repeat is chosen within the window of 2 s, and the connection comes up at 3 s (the kernel's queue was full). The server gets the repeat after the window: Q.DO ... 01 c=transfer-post,d=5986, which no server drops any more. Excluded: the choice itself (mayRetry and windowClosed look at the window; the connection did not exist then). At fault: upstream.go, write: nothing looked at the time between the choice and the first byte. Change: the module tells until when a repeat may leave, the reducer takes the earlier of that and the try's time, and the pool looks where the bytes leave. A flush of a large command ends with that time, too.

By reading, beside it: the connection of a try that is given up was closed in a goroutine of its own, after the outcome was told, so the next try could leave beside an open one (deployments without second copies): it is shut at once now. An answer had 250 ms from its first to its last byte; a long one on a slow connection was called spoilt. Now 250 ms without a byte decide; test with 8 KB in 21 parts.

--- /dev/null
+++ b/cmd/bramblefall/crossing_test.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/resp"
+)
+
+// Events that cross, forced: a stand-in stops where the other event has to come in between.
+
+// door is a server whose connections come up when the test says so: what waits in the kernel's queue is accepted by hand,
+// and while that is full the kernel drops what else comes, to be asked again a second later.
+type door struct {
+	t    *testing.T
+	fd   int
+	addr string
+}
+
+func newDoor(t *testing.T) *door {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	at, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	return &door{t, fd, fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)}
+}
+
+// accept takes the connection that waits, or the next.
+func (d *door) accept() net.Conn {
+	fd, _, err := syscall.Accept(d.fd)
+	require.NoError(d.t, err)
+	file := os.NewFile(uintptr(fd), "accepted")
+	conn, err := net.FileConn(file)
+	require.NoError(d.t, err)
+	require.NoError(d.t, file.Close())
+	d.t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(d.t, conn.SetDeadline(time.Now().Add(patience)))
+	return conn
+}
+
+// shut fills the queue, so that nothing more comes up.
+func (d *door) shut() {
+	conn, err := net.Dial("tcp", d.addr)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = conn.Close() })
+}
+
+// knocked waits until a connection has been asked for that does not come up.
+func (d *door) knocked() {
+	var port int
+	_, _ = fmt.Sscanf(d.addr[strings.IndexByte(d.addr, ':')+1:], "%d", &port)
+	remote := fmt.Sprintf("0100007F:%04X 02 ", port) // in SYN_SENT
+	require.Eventually(d.t, func() bool {
+		table, err := os.ReadFile("/proc/net/tcp")
+		return err == nil && strings.Contains(string(table), remote)
+	}, patience, time.Millisecond)
+}
+
+// command reads one command; nil: the connection has ended.
+func readCommand(conn net.Conn) []string {
+	var p resp.Parser
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := conn.Read(buf)
+		if err != nil {
+			return nil
+		}
+		p.Feed(buf[:n])
+		if raw, ok, err := p.Command(); ok && err == nil {
+			args := make([]string, len(raw))
+			for k := range raw {
+				args[k] = string(raw[k])
+			}
+			return args
+		}
+	}
+}
+
+// class changes one class of the settings.
+func class(set object, n int, changes object) object {
+	c := set["classes"].([]object)[n]
+	for k, v := range changes {
+		c[k] = v
+	}
+	return set
+}
+
+// A repeat of a keyed request that was allowed when its server was chosen, on a connection that comes up when the window
+// is over: nothing of it leaves, and the client is told that nothing is promised.
+func TestARepeatDoesNotLeaveAfterItsWindow(t *testing.T) {
+	t.Parallel()
+	const window = 2 * time.Second // the kernel asks again after 1 and 3 s
+	set := class(settings(), 1, object{"keyTtl": window.Seconds()})
+	set["caps"].(object)["connectTimeout"] = 8.0
+	d := newDoor(t)
+	c := start(t, world{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}}).dial()
+	began := time.Now()
+	c.write(command(post("01")...))
+	first := d.accept()
+	require.NotNil(t, readCommand(first))
+	d.shut()
+	_, err := first.Write([]byte("-ERR failed\r\n"))
+	require.NoError(t, err)
+	d.knocked() // the repeat has its server, and no connection
+	require.Less(t, time.Since(began), window, "the machine was too busy for this test")
+	time.Sleep(time.Until(began.Add(window)))
+	_ = d.accept() // the one that filled the queue
+	assert.Equal(t, "-ERR failed", c.answer())
+	late := d.accept()
+	require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
+	assert.Nil(t, readCommand(late), "a repeat that no server drops any more")
+}
+
+// A long answer on a slow connection that keeps moving is whole in the end; one that stops in the middle is given up long
+// before the try's own time is over.
+func TestProgressDecidesOnALongAnswer(t *testing.T) {
+	t.Parallel()
+	for name, whole := range map[string]bool{"keeps moving": true, "stops": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			text := strings.Repeat("v", 8000)
+			answer := fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(text), text)
+			var gap time.Duration // the longest
+			s := newServer(t, "s-1", "hall-a", func(conn net.Conn, _ []string) {
+				gap = 0
+				for k := 0; k < len(answer) && (whole || k < 4000); k += 400 {
+					before := time.Now()
+					_, _ = conn.Write([]byte(answer[k:min(k+400, len(answer))]))
+					time.Sleep(20 * time.Millisecond)
+					gap = max(gap, time.Since(before))
+				}
+			})
+			l := start(t, world{servers: []*server{s}})
+			for try := 0; ; try++ {
+				got := l.dial().do(post(fmt.Sprint("id", try))...)
+				if !whole {
+					assert.Equal(t, "-ERR failed", got)
+					return
+				}
+				if gap < 100*time.Millisecond || try == 20 { // else the machine was too busy to keep it moving
+					assert.Equal(t, text, got)
+					return
+				}
+			}
+		})
+	}
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -62,7 +62,7 @@
 	}
 	board := &plans.Board{}
 	owner := loop.New(core.New(cfg.settings, cfg.seed, book))
-	pool := upstream.New(cfg.settings, most/2, owner.Post)
+	pool := upstream.New(cfg.settings, most/2, owner.Post, loop.Now)
 	list := discovery.New(cfg.Discovery, cfg.settings, pool, owner.Post)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -67,10 +67,12 @@
 	Group  int
 	Server logic.ServerID
 	Wait   time.Duration
+	Until  time.Duration // no byte of it may leave from then on: the try's time is over, or the window for its repeat
 	Origin Origin
 }
 
-// Abandon ends the wait for a try (effect). Its outcome is Reason, or ConnectFailed if it was never sent.
+// Abandon ends the wait for a try (effect). Its outcome is Reason, or ConnectFailed where a time-out ends one that has no
+// connection yet.
 type Abandon struct {
 	Key
 	Group  int
@@ -304,7 +306,11 @@
 		return
 	}
 	q.tries, q.out = append(q.tries, try{a.Server, r.now, true}), q.out+1
-	r.do(Try{Key{a.ID, n}, q.group, a.Server, wait, q.origin})
+	until := r.now + wait
+	if a.Until > 0 {
+		until = min(until, a.Until)
+	}
+	r.do(Try{Key{a.ID, n}, q.group, a.Server, wait, until, q.origin})
 	r.do(SetTimer{r.now + wait, Timer{tryTimer, Key{a.ID, n}}})
 }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -174,7 +174,10 @@
 // Refuse ends a connection that OnPrepare has been handed and that is not registered with the poller yet. Closing it
 // there or from a goroutine would race with that: the descriptor could be another connection's by then. The poller
 // sees the end that this makes and closes.
-func (c *Conn) Refuse() {
+func (c *Conn) Refuse() { c.Cut() }
+
+// Cut ends both directions at once, also where a write is under way; Close has still to be called. It waits for nothing.
+func (c *Conn) Cut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.over {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,7 +25,7 @@
 	defaultUp   = 250 * time.Millisecond // likewise, for a connection to come up
 	sweepEvery  = time.Second
 	restFor     = 20 * time.Millisecond  // after an answer: what more a server sends must not meet the next try
-	wholeWithin = 250 * time.Millisecond // of its first byte, or the rest of an answer will not come
+	stuckAfter  = 250 * time.Millisecond // without a byte in the middle of an answer: the rest will not come
 )
 
 // Command is what the origin of a try must offer: its wire form.
@@ -37,6 +37,7 @@
 // back those behind it, and giving one up closes its connection.
 type Pool struct {
 	post   func(core.Event)
+	now    func() time.Duration // the reducer's clock
 	fields []logic.LoadField
 	up     time.Duration // a connection that is not up by then never comes up
 	idle   time.Duration // longest that a connection stands idle
@@ -68,6 +69,7 @@
 	try    core.Key
 	target *target
 	bytes  []byte
+	until  time.Duration // no byte may leave from then on
 	state  state
 	on     *connection // that carries it
 	done   bool        // its outcome is told
@@ -82,11 +84,12 @@
 	closed bool
 	since  time.Time   // idle since
 	begun  *time.Timer // ends the wait for the rest of an answer; nil: none has begun
+	heard  time.Time   // the last byte of it
 }
 
 // New makes a pool that holds so many connections at most.
-func New(set logic.Settings, most int, post func(core.Event)) *Pool {
-	p := &Pool{post: post, fields: set.ReportFields, most: most, up: set.ConnectTimeout,
+func New(set logic.Settings, most int, post func(core.Event), now func() time.Duration) *Pool {
+	p := &Pool{post: post, now: now, fields: set.ReportFields, most: most, up: set.ConnectTimeout,
 		targets: map[logic.ServerID]*target{}, tries: map[core.Key]*flight{}}
 	if p.up <= 0 {
 		p.up = defaultUp
@@ -161,7 +164,7 @@
 func (p *Pool) Try(t core.Try) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f := &flight{try: t.Key, bytes: t.Origin.(Command).AppendCommand(nil, t.Wait), target: p.targets[t.Server]}
+	f := &flight{try: t.Key, bytes: t.Origin.(Command).AppendCommand(nil, t.Wait), until: t.Until, target: p.targets[t.Server]}
 	p.tries[t.Key] = f
 	p.start(f)
 }
@@ -208,6 +211,7 @@
 	p.post(o)
 	if c := f.on; c != nil { // no answer was read: what may come on this connection belongs to nobody
 		c.flight, f.on = nil, nil
+		c.conn.Cut() // before the next try of this request may leave: it would be a second copy beside an open one
 		p.drop(c)
 	}
 }
@@ -280,15 +284,23 @@
 	p.write(c, f)
 }
 
-// write sends a flight's bytes. An idle connection's send buffer is empty, since the server has answered all
+// write sends a flight's bytes, unless its time is over: the connection may have come up late. Guards against a repeat
+// that no server drops any more, and against a request that nobody waits for, while the reducer has not said so yet. An idle connection's send buffer is empty, since the server has answered all
 // that was in it, so a small flush never waits; a larger one has a goroutine of its own.
 func (p *Pool) write(c *connection, f *flight) {
+	left := f.until - p.now()
+	if left <= 0 {
+		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
+		p.rest(c)
+		return
+	}
 	c.flight, f.state = f, flushing
 	f.on = c
 	if len(f.bytes) <= smallFlush {
 		p.flushed(c, f, c.conn.Write(f.bytes))
 		return
 	}
+	c.conn.WriteLimit(min(writeLimit, left))
 	lastwords.Go(func() {
 		err := c.conn.Write(f.bytes)
 		p.mu.Lock()
@@ -372,7 +384,8 @@
 	reply, ok, err := c.parser.Reply()
 	f := c.flight
 	if f != nil && err == nil && !ok {
-		c.wait()
+		c.heard = time.Now()
+		c.wait(stuckAfter)
 		return
 	}
 	c.whole()
@@ -390,17 +403,24 @@
 	}
 }
 
-// wait bounds the time for the rest of an answer. Guards against a length that does not fit and a line that never
-// ends: the server has nothing more to say, and the try would wait for its end.
-func (c *connection) wait() {
+// wait bounds the time without a byte of the rest of an answer. Guards against a length that does not fit and a line that
+// does not end: the server has nothing more to say, and the try would wait for its end. A long answer on a slow
+// connection may go on for as long as the try waits, and the parser bounds its size.
+func (c *connection) wait(d time.Duration) {
 	if c.begun != nil {
 		return
 	}
 	var begun *time.Timer
-	begun = lastwords.AfterFunc(wholeWithin, func() {
+	begun = lastwords.AfterFunc(d, func() {
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
-		if c.begun == begun {
+		if c.begun != begun {
+			return
+		}
+		c.begun = nil
+		if left := stuckAfter - time.Since(c.heard); left > 0 {
+			c.wait(left)
+		} else {
 			c.spoilt()
 		}
 	})
--- a/logic/api.go
+++ b/logic/api.go
@@ -248,6 +248,7 @@
 	ID      uint64
 	Server  ServerID
 	Timeout time.Duration
+	Until   time.Duration // on the clock of the events: nothing of it may leave from then on; 0: up to its time-out
 }
 
 // Refuse is a final answer: a retry is harmless (action).
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -965,7 +965,7 @@
 	if r.class.Effect == Safe && f.retries >= 1 && r.attempts < g.set.MaxAttempts { // time for a second attempt
 		wait = min(wait, max(r.useful-g.now-time.Duration(2*f.latency), time.Duration(6*f.latency)))
 	}
-	g.do(Send{r.ID, s.ID, wait})
+	g.do(Send{r.ID, s.ID, wait, r.until()})
 }
 
 // choose finds the server with the least work for its speed, or nil if none may take the request. Many
--- a/logic/state.go
+++ b/logic/state.go
@@ -669,6 +669,14 @@
 	g.do(Count{name, amount, 3 * c.lasts(what), wait})
 }
 
+// until is the end of the window in which servers drop the repeat of a keyed request; 0: none has begun.
+func (r *request) until() time.Duration {
+	if r.ran && r.class.Effect == Keyed {
+		return r.keyUntil
+	}
+	return 0
+}
+
 // giveBack returns a drawn slot.
 func (g *Gateway) giveBack(r *request) {
 	if r.slot != 0 {
