A client that sends more than may wait is refused in its turn, not cut off

Seen (new test, real program, unchanged code): 3,000 requests written on one connection while the server holds its answers: the client reads EOF, up to 1,024 taken requests have no answer. At fault: platform.go, place: at mostWaiting the connection was closed. Reading cannot be paused with netpoll, whose buffer would grow without bound, so what comes beyond is refused in its place, at four bytes of memory a command (a count at the last slot); a client that sends 8,192 more without reading is still cut off.

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -156,3 +156,36 @@
 		})
 	}
 }
+
+// A client that sends more at once than may wait on a connection, and reads later: each command has its one answer, in its
+// place, and those that were taken are served.
+func TestAFloodOnOneConnectionLosesNothingThatWasTaken(t *testing.T) {
+	t.Parallel()
+	const all = 3000
+	open := make(chan struct{})
+	s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		<-open
+		value("v"+args[2])(conn, args)
+	})
+	set := settings()
+	set["tariffs"].([]object)[0]["perSecond"], set["tariffs"].([]object)[0]["depth"] = 1e5, 1e5
+	c := start(t, world{settings: set, servers: []*server{s}}).dial()
+	var text strings.Builder
+	for n := range all {
+		text.WriteString(command(ask(fmt.Sprintf("id%d", n))...))
+	}
+	c.write(text.String())
+	require.Eventually(t, func() bool { return len(s.seen()) > 0 }, patience, time.Millisecond)
+	close(open)
+	served := 0
+	for n := range all {
+		switch got := c.answer(); {
+		case strings.HasPrefix(got, "-BUSY"): // refused by the module, or in its turn
+		default:
+			require.Equal(t, fmt.Sprintf("vid%d", n), got, "an answer in another's place")
+			served++
+		}
+	}
+	assert.NotZero(t, served)
+	assert.Equal(t, "+PONG", c.do("PING"), "nothing but the answers came, and the connection goes on")
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -29,13 +29,16 @@
 	drainGrace  = 450 * time.Millisecond // clients hear of a planned restart so late
 	crossGrace  = 150 * time.Millisecond // then for requests that crossed the close of an idle connection and come again
 	drainEvery  = 10 * time.Millisecond
-	mostWaiting = 1024     // commands on one connection without an answer yet
+	mostWaiting = 1024     // commands on one connection without an answer yet; what comes beyond is refused in its turn
+	mostRefused = 8 << 10  // of these at once: who sends more does not read
 	defaultOpen = 16384    // requests in hand at once, where the settings name no number
 	defaultHeld = 48 << 20 // bytes of their commands, where no cap is told: a body may be 64 KiB
 	mostErrors  = 64       // of one connection: who sends nothing else is not worth it
 	mostID      = 64       // bytes of a request's id
 	firms       = 1 << 33  // customers are numbers below this
 
+	tooBusy = "-BUSY 1000\r\n"
+
 	answerWork = 2 * time.Millisecond // of processor time before an answer goes out: a collection of garbage takes so much
 
 	sweepEvery = 250 * time.Millisecond
@@ -259,6 +262,7 @@
 	answer []byte
 	done   bool
 	last   bool // the connection closes after it
+	also   int  // commands behind it that are refused, since too many were waiting
 }
 
 // ready is told when bytes have come.
@@ -334,16 +338,14 @@
 	case "Q.ASK", "Q.DO":
 		return c.take(name, args, now)
 	case "PING":
-		c.reply([]byte("+PONG\r\n"), false)
+		return c.reply([]byte("+PONG\r\n"), false)
 	case "CLIENT", "SELECT":
-		c.reply([]byte("+OK\r\n"), false)
+		return c.reply([]byte("+OK\r\n"), false)
 	case "QUIT":
-		c.reply([]byte("+OK\r\n"), true)
-		return true
+		return c.reply([]byte("+OK\r\n"), true)
 	default:
 		return c.refuse("unknown command", false)
 	}
-	return false
 }
 
 // refuse answers what cannot be used. It tells whether the connection ends with it.
@@ -352,31 +354,39 @@
 	c.errors++
 	last = last || c.errors >= mostErrors
 	c.mu.Unlock()
-	c.reply([]byte("-ERR "+why+"\r\n"), last)
-	return last
+	return c.reply([]byte("-ERR "+why+"\r\n"), last)
 }
 
-// place adds the slot of a command's answer; nil if the client waits for too many.
-func (c *clientConnection) place() *slot {
+// place adds the slot of a command's answer. Nil if the client waits for too many: a client that only writes must not fill
+// the memory, and those that were taken before must not be lost. The command is refused behind them; over tells that the
+// client sends on all the same, and is cut off.
+func (c *clientConnection) place() (s *slot, over bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.usedAt, c.spoke = time.Now(), true
-	if len(c.slots) >= mostWaiting { // a client that only writes must not fill the memory
+	if len(c.slots) < mostWaiting {
+		s = &slot{}
+		c.slots = append(c.slots, s)
+		return s, false
+	}
+	last := c.slots[len(c.slots)-1]
+	if last.also++; last.also > mostRefused {
 		c.ending = true
 		lastwords.Go(c.conn.Close)
-		return nil
+		return nil, true
 	}
-	s := &slot{}
-	c.slots = append(c.slots, s)
-	return s
+	return nil, false
 }
 
-// reply answers a command at once, behind the answers that are due before.
-func (c *clientConnection) reply(answer []byte, last bool) {
-	if s := c.place(); s != nil {
-		s.last = last
-		c.fill(s, answer)
+// reply answers a command at once, behind the answers that are due before. It tells whether the connection ends with it.
+func (c *clientConnection) reply(answer []byte, last bool) bool {
+	s, over := c.place()
+	if s == nil {
+		return over
 	}
+	s.last = last
+	c.fill(s, answer)
+	return last
 }
 
 // fill puts an answer in its slot and writes what is due now.
@@ -393,6 +403,9 @@
 		if c.slots = c.slots[1:]; c.gone {
 			continue
 		}
+		for range s.also {
+			s.answer = append(s.answer, tooBusy...)
+		}
 		if c.out.Write(s.answer) != nil {
 			continue
 		}
@@ -497,15 +510,15 @@
 		return c.refuse(err.Error(), false)
 	}
 	if c.front.owner.Open() >= c.front.open || c.front.held.Load() >= c.front.bytes { // guards the memory in a flood; the module sees none of it
-		c.reply([]byte("-BUSY 1000\r\n"), false)
-		return false
+		return c.reply([]byte(tooBusy), false)
 	}
 	if !c.front.hold(r) {
 		return c.refuse("a request with this id is open", false)
 	}
-	if r.slot = c.place(); r.slot == nil {
+	var over bool
+	if r.slot, over = c.place(); r.slot == nil {
 		c.front.release(r)
-		return true
+		return over
 	}
 	r.id = c.front.owner.ID()
 	q.ID = r.id
