A new process hears its agent before it serves, and no older list takes a drain back

Seen (new tests): with an old known list and an agent that answers after 0.2 s, the unchanged program serves at once and sends to the server that the agent says drains (1 of 1). By the pure client: a whole list of an older version, from another watch or address or behind a line that broke off, made a draining server ready again (take accepted any whole list). Ten asks of a silent agent by a limiter of 300 lay up to 6 s apart (1 s for the head, up to 5 s pause), while what the agent has at its return binds within the grace of 0.5 s. Excluded: a watch that stood and fell silent was kept and heard already. At fault: follow.go, pause and head (paced by the fleet, though an agent is this machine's alone) and doubted (an ask that had brought nothing was dropped); discovery.go, take; serve.go, which listened before the first word. Change: an agent that says nothing is asked again within 0.3 of the grace in a fleet of any size, and the last such ask stays open; a refused ask is paced as before. The listener opens after the first whole line, or after 1 s. Drains and machines gone are remembered by version for a minute. TestWhichWatchIsBelieved said that a watch that brought nothing is dropped; it now says that only the last is kept.

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -189,3 +190,44 @@
 	assert.NotZero(t, served)
 	assert.Equal(t, "+PONG", c.do("PING"), "nothing but the answers came, and the connection goes on")
 }
+
+// agent answers watches of the list as the test says: hold is called with the number of the ask before anything is said.
+func agent(t *testing.T, hold func(ask int), line string) *registry {
+	asks := make(chan int, 1)
+	asks <- 0
+	addr := acceptOn(t, func(conn net.Conn) {
+		n := <-asks
+		asks <- n + 1
+		if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
+			return
+		}
+		hold(n)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
+		_, _ = conn.Read(make([]byte, 1)) // until the limiter leaves
+	})
+	return &registry{addr: addr}
+}
+
+// What the agent has binds a new process from its first moment: with an old list known, nothing is served by it while the
+// agent's answer is on its way.
+func TestANewProcessWaitsForItsAgentBeforeItServes(t *testing.T) {
+	t.Parallel()
+	left, fresh := newServer(t, "s-1", "hall-a", value("old")), newServer(t, "s-2", "hall-a", value("new"))
+	now := *left
+	now.state = "draining"
+	raw, err := json.Marshal(object{"version": 7, "full": true, "servers": entries([]*server{&now, fresh})})
+	require.NoError(t, err)
+	w := world{servers: []*server{left}, registry: agent(t, func(int) { time.Sleep(200 * time.Millisecond) }, string(raw))}
+	assert.Equal(t, "new", start(t, w).dial().do(ask("01")...))
+	assert.Empty(t, left.seen())
+}
+
+// An agent that is silent, since discovery is down, holds no start up for long, and the old list serves meanwhile.
+func TestASilentAgentHoldsNoStartUp(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, "s-1", "hall-a", value("v"))
+	down := make(chan struct{})
+	defer close(down)
+	w := world{servers: []*server{s}, registry: agent(t, func(int) { <-down }, "")}
+	assert.Equal(t, "v", start(t, w).dial().do(ask("01")...))
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -30,6 +30,7 @@
 	heldShare      = 0.125 // of the cap, for the bytes of commands in hand: a body is held as read, as written and in buffers
 	moreGarbage    = 200   // per cent: 8 MB before the first collection, which half of the smallest cap holds
 
+	firstList   = time.Second            // for discovery's first word, before clients are let in
 	longestWait = 3 * time.Second        // a longer deadline counts as this at a planned restart
 	lastAnswers = 400 * time.Millisecond // after that: SIGKILL may come 300 ms later
 	lastFlush   = 250 * time.Millisecond // for the last answers to be read; most go out at once
@@ -77,6 +78,9 @@
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
 		lastwords.Go(func() { run(ctx) })
 	}
+	if !list.Heard(firstList) {
+		slog.Info("discovery says nothing yet, serving by the list that was known", "servers", len(cfg.Known.Servers))
+	}
 	front := platform.New(cfg.settings, owner, board, most-most/2, int64(heldShare*float64(cfg.Limits.MemoryMB<<20)),
 		cfg.Limits.Cores)
 	at, err := front.Listen(cfg.Listen)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,23 +58,54 @@
 	terms terms
 
 	version atomic.Int64
+	heard   chan struct{} // closed once discovery has brought a whole line
+	hear    func()
 
 	mu     sync.Mutex
 	addr   string             // "": there is none
 	moved  context.CancelFunc // ends the watches that the address was followed with
 	ids    map[string]logic.ServerID
 	listed map[string]logic.ServerID // those that the last whole list or a change since has named, but not as gone
+	left   map[string]leaving
 }
 
+// leaving is what was told of a server that takes nothing new.
+type leaving struct {
+	version, started int64
+	at               time.Time
+}
+
+const anyStart = -1
+
+const remembered = time.Minute // a list that is older than a drain comes sooner, or is another count of versions
+
 // New makes a client of discovery at an address.
 func New(addr string, set logic.Settings, book Addresses, post func(core.Event)) *Client {
-	return &Client{addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
+	heard := make(chan struct{})
+	return &Client{heard: heard, hear: sync.OnceFunc(func() { close(heard) }), left: map[string]leaving{}, addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
 		listed: map[string]logic.ServerID{}, terms: termsOf(set)}
 }
 
 // Known takes the list that this limiter last held. It may be old.
 func (c *Client) Known(l List) { c.take(l, true) }
 
+// Heard waits until discovery has brought a whole line, for so long at most. Guards against a new process that serves by an
+// old list: what the agent has binds it from its first moment.
+func (c *Client) Heard(limit time.Duration) bool {
+	c.mu.Lock()
+	addr := c.addr
+	c.mu.Unlock()
+	if addr == "" {
+		return true
+	}
+	select {
+	case <-c.heard:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // Move follows the list at another address from now on. Guards against a watch that lives on at an address that
 // tells nothing more: it is left at once, and not asked again after the usual wait.
 func (c *Client) Move(addr string) {
@@ -108,10 +139,12 @@
 	f := follower{terms: c.terms}
 	words := make(chan word)
 	watches := map[int]context.CancelFunc{}
-	drop := func(n int) {
-		if end, ok := watches[n]; ok {
-			delete(watches, n)
-			end()
+	drop := func(list ...int) {
+		for _, n := range list {
+			if end, ok := watches[n]; ok {
+				delete(watches, n)
+				end()
+			}
 		}
 	}
 	began, told, quiet := time.Now(), time.Time{}, 0
@@ -137,11 +170,14 @@
 			due := false
 			switch x.kind {
 			case line:
-				believed, other := f.heard(x.watch)
-				drop(other)
+				believed, others := f.heard(x.watch)
+				drop(others...)
 				if believed && x.list != nil {
 					c.take(*x.list, false)
 				}
+				if believed && x.list == nil {
+					c.hear()
+				}
 			case doubt:
 				var other int
 				if other, due = f.doubted(time.Since(began), x.watch, x.mid); due {
@@ -185,6 +221,7 @@
 		for name, id := range before {
 			if _, ok := c.listed[name]; !ok {
 				c.book.Withdraw(id) // gone: a whole list names no such server
+				c.left[name] = leaving{l.Version, anyStart, time.Now()}
 			}
 		}
 	}
@@ -217,6 +254,11 @@
 			slog.Warn("unknown state of a server", "id", s.ID, "state", s.State)
 			state = logic.Draining
 		}
+		if state = c.stays(s, state, l.Version); state != logic.Ready {
+			c.left[s.ID] = leaving{max(l.Version, c.left[s.ID].version), s.StartedMS, time.Now()}
+		} else {
+			delete(c.left, s.ID)
+		}
 		if c.listed[s.ID] = id; state == logic.Gone {
 			delete(c.listed, s.ID)
 		}
@@ -232,5 +274,24 @@
 		}
 		out.Servers = append(out.Servers, e)
 	}
+	for id, was := range c.left {
+		if time.Since(was.at) > remembered {
+			delete(c.left, id)
+		}
+	}
 	c.post(core.UpstreamGroup{ServerList: out})
 }
+
+// stays tells a server's state once more. Guards against a drain that is taken back by an older word: a list from before it
+// may come behind it, from another watch or another address, or behind a line that broke off.
+func (c *Client) stays(s Server, state logic.ServerState, version int64) logic.ServerState {
+	was, ok := c.left[s.ID]
+	if state != logic.Ready || !ok || version >= was.version || time.Since(was.at) > remembered {
+		return state
+	}
+	if was.started != anyStart && was.started != s.StartedMS {
+		return state // it has started anew
+	}
+	slog.Info("an older list says ready of a server that takes nothing new", "id", s.ID, "version", version, "told", was.version)
+	return logic.Draining
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -21,6 +21,7 @@
 	usualGrace  = 500 * time.Millisecond // where the settings name none
 	graceSpread = 0.8                    // of the grace, over which a fleet's asks are spread
 	brought     = 0.25                   // of a wait, where the answer began: discovery is up, and what it told binds
+	again       = 0.3                    // of the grace, at most: until an agent that says nothing is asked once more
 )
 
 // terms are what the settings say about asking discovery.
@@ -42,19 +43,22 @@
 	return time.Duration(min(float64(t.fleet)/fleetAsks, mostRetry.Seconds()) * float64(time.Second))
 }
 
-// head is how long the beginning of an answer may take: the agent is near and answers at once, or not at all.
-func (t terms) head() time.Duration { return min(max(t.grace/2, t.share()), mostHead) }
+// head is how long the beginning of an answer may take: the agent is near and answers at once, or says nothing while
+// discovery is down.
+func (t terms) head() time.Duration { return min(t.grace/2, mostHead) }
 
 // stuck is how long the rest of a line may take after its last byte: what has come of it may count as told.
 func (t terms) stuck() time.Duration { return max(t.grace/4, leastStuck) }
 
-// follower decides when discovery is asked and which of at most two watches is believed. It does nothing itself and
+// follower decides when discovery is asked and which of at most three watches is believed. It does nothing itself and
 // reads no clock; watches go by their numbers, from 1.
 type follower struct {
 	terms
 	last  int           // the newest watch
 	live  int           // the one that is listened to; 0: none, the next is due
-	kept  int           // the one before, which fell silent between two lines and may go on; 0: none
+	kept  int           // one before, which fell silent between two lines and may go on; 0: none
+	hung  int           // the last that has brought nothing: its answer may come once discovery is back; 0: none
+	mute  bool          // the last that was left had brought nothing and had not ended
 	lines bool          // live has brought one
 	some  bool          // the last that ended had brought something
 	began time.Duration // live
@@ -68,35 +72,42 @@
 	return f.live
 }
 
-// heard takes note of a line. It tells whether to believe it and which watch is of no more use.
-func (f *follower) heard(watch int) (believed bool, drop int) {
-	switch watch {
-	case 0:
-		return false, 0
-	case f.live:
-		drop, f.kept, f.lines = f.kept, 0, true
-	case f.kept:
-		drop, f.live, f.kept, f.lines = f.live, f.kept, 0, true
-	default:
-		return false, 0
+// heard takes note of a line. It tells whether to believe it and which watches are of no more use.
+func (f *follower) heard(watch int) (believed bool, drop []int) {
+	if watch == 0 || watch != f.live && watch != f.kept && watch != f.hung {
+		return false, nil
 	}
+	for _, other := range []int{f.live, f.kept, f.hung} {
+		if other != 0 && other != watch {
+			drop = append(drop, other)
+		}
+	}
+	f.live, f.kept, f.hung, f.lines, f.mute = watch, 0, 0, true, false
 	return true, drop
 }
 
 // doubted takes note of a watch that has said nothing for too long, perhaps in the middle of a line. One that fell
-// silent between two lines is kept beside the next: it costs nothing and may go on.
+// silent between two lines is kept beside the next, and so is the last that has brought nothing yet: that costs nothing,
+// and what the agent has once discovery is back binds at once.
 func (f *follower) doubted(now time.Duration, watch int, mid bool) (drop int, due bool) {
 	switch {
-	case watch == f.kept && mid:
+	case watch == 0:
+	case mid && watch == f.kept:
 		drop, f.kept = f.kept, 0
-	case watch == f.live && watch != 0:
-		if f.lines && !mid {
-			f.kept = f.live
-		} else {
+	case mid && watch == f.hung:
+		drop, f.hung = f.hung, 0
+	case watch == f.live:
+		switch {
+		case mid:
 			drop = f.live
+		case f.lines:
+			f.kept = f.live
+		default:
+			drop, f.hung = f.hung, f.live
 		}
+		mute := !f.lines && !mid
 		f.leave(now, mid)
-		due = true
+		f.mute, due = mute, true
 	}
 	return drop, due
 }
@@ -104,9 +115,12 @@
 // ended takes note of a watch whose connection is over, perhaps in the middle of a line. It tells whether the next is due.
 func (f *follower) ended(now time.Duration, watch int, mid bool) (due bool) {
 	switch {
+	case watch == 0:
 	case watch == f.kept:
 		f.kept = 0
-	case watch == f.live && watch != 0:
+	case watch == f.hung:
+		f.hung = 0
+	case watch == f.live:
 		f.leave(now, mid)
 		return true
 	}
@@ -118,13 +132,17 @@
 	if f.tries++; f.lines && now-f.began > lastRetry {
 		f.tries = 0
 	}
-	f.live, f.lines = 0, false
+	f.live, f.lines, f.mute = 0, false, false
 }
 
 // pause is the wait before the next ask; luck is from 0 to 1. Guards against all limiters of a fleet asking in step, and
 // so often that discovery answers nobody. It is short where a watch had stood or had begun to tell something: what a
-// limiter would have been told had it asked binds it (drains).
+// limiter would have been told had it asked binds it (drains). An agent that says nothing is asked again soon in a fleet of
+// any size: it is this machine's alone, and answers at no cost.
 func (f *follower) pause(luck float64) time.Duration {
+	if f.mute {
+		return time.Duration(luck * again * float64(f.grace))
+	}
 	if f.tries == 0 {
 		return time.Duration(luck * graceSpread * float64(f.grace) * min(1, float64(f.fleet)/fleetAsks))
 	}
--- a/internal/discovery/follow_test.go
+++ b/internal/discovery/follow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bramblefall/internal/core"
 	"bramblefall/logic"
 )
 
@@ -118,43 +119,120 @@
 	}
 }
 
-// A watch that fell silent between two lines may go on: it is then the one to listen to, and the ask beside it ends. One
-// that stopped in the middle of a line is left, and one that brought nothing, too.
+// A watch that fell silent between two lines may go on: it is then the one to listen to, and the asks beside it end. One
+// that stopped in the middle of a line is left. Of those that have brought nothing the last is listened to, too.
 func TestWhichWatchIsBelieved(t *testing.T) {
 	f := follower{terms: terms{500 * ms, 3}}
 	first := f.ask(0)
-	believed, drop := f.heard(first)
+	believed, others := f.heard(first)
 	require.True(t, believed)
-	require.Zero(t, drop)
+	require.Empty(t, others)
 	drop, due := f.doubted(3*time.Second, first, false)
 	require.Zero(t, drop, "it may go on")
 	require.True(t, due)
 	second := f.ask(3 * time.Second)
-	believed, drop = f.heard(first)
+	drop, due = f.doubted(4*time.Second, second, false)
+	require.Zero(t, drop, "its answer may come")
+	require.True(t, due)
+	third := f.ask(4 * time.Second)
+	drop, due = f.doubted(5*time.Second, third, false)
+	require.Equal(t, second, drop, "only the last of these")
+	require.True(t, due)
+	fourth := f.ask(5 * time.Second)
+	believed, others = f.heard(first)
 	require.True(t, believed)
-	require.Equal(t, second, drop)
-	believed, _ = f.heard(second)
+	require.ElementsMatch(t, []int{third, fourth}, others)
+	believed, _ = f.heard(fourth)
 	require.False(t, believed, "it was left")
-	require.False(t, f.ended(4*time.Second, second, false))
+	require.False(t, f.ended(6*time.Second, fourth, false))
 
 	_, due = f.doubted(7*time.Second, first, false)
 	require.True(t, due)
-	third := f.ask(7 * time.Second)
-	drop, due = f.doubted(8*time.Second, third, false)
-	require.Equal(t, third, drop, "it brought nothing")
+	fifth := f.ask(7 * time.Second)
+	_, due = f.doubted(8*time.Second, fifth, false)
 	require.True(t, due)
-	fourth := f.ask(8 * time.Second)
-	believed, drop = f.heard(fourth)
-	require.True(t, believed)
-	require.Equal(t, first, drop, "the old one is of no more use")
+	sixth := f.ask(8 * time.Second)
+	believed, others = f.heard(fifth)
+	require.True(t, believed, "discovery is back")
+	require.ElementsMatch(t, []int{first, sixth}, others)
 	believed, _ = f.heard(first)
 	require.False(t, believed)
-	drop, due = f.doubted(9*time.Second, fourth, true)
-	require.Equal(t, fourth, drop, "its line will not end")
+	drop, due = f.doubted(9*time.Second, fifth, true)
+	require.Equal(t, fifth, drop, "its line will not end")
 	require.True(t, due)
-	require.False(t, f.ended(9*time.Second, fourth, true), "its end is no news")
+	require.False(t, f.ended(9*time.Second, fifth, true), "its end is no news")
+}
+
+// An agent is silent while discovery is down, and what it has at the return binds at once: a new process that has not heard
+// it yet knows it within the grace, in a fleet of any size, whether or not the agent answers what was asked before.
+func TestWhatAnAgentHasAtItsReturnIsKnownWithinTheGrace(t *testing.T) {
+	for _, grace := range []time.Duration{250 * ms, 500 * ms, 2 * time.Second} {
+		for _, fleet := range []int{1, 3, 80, 300} {
+			f := follower{terms: termsOf(logic.Settings{DrainGrace: grace, Gateways: fleet})}
+			for now := time.Duration(0); now < 10*time.Second; {
+				asked := now
+				n := f.ask(now)
+				now += f.head()
+				_, due := f.doubted(now, n, false)
+				require.True(t, due)
+				now += f.pause(1)
+				require.Less(t, now-asked, grace, "of the next ask, %v %d", grace, fleet)
+			}
+			believed, _ := f.heard(f.last)
+			require.True(t, believed, "the answer to the last ask")
+		}
+	}
 }
 
+// A server that was told to drain, or is gone, does not come back by an older list: not from another watch or address, and
+// not behind a line that broke off. It does when it has started anew, or when a newer list says so.
+func TestADrainIsNotTakenBackByAnOlderWord(t *testing.T) {
+	at := func(state string, started int64) Server {
+		return Server{ID: "s-1", Addr: "127.0.0.1:1", State: state, StartedMS: started}
+	}
+	for name, c := range map[string]struct {
+		told, next List
+		cut        bool // told in a line that broke off
+		ready      bool
+	}{
+		"an older whole list":   {told: List{Version: 43, Servers: []Server{at("draining", 0)}}, next: List{Version: 42, Full: true, Servers: []Server{at("ready", 0)}}},
+		"behind a cut line":     {told: List{Version: 43, Servers: []Server{at("draining", 0)}}, cut: true, next: List{Version: 42, Servers: []Server{at("ready", 0)}}},
+		"gone":                  {told: List{Version: 43, Servers: []Server{at("gone", 0)}}, next: List{Version: 42, Full: true, Servers: []Server{at("ready", 0)}}},
+		"not named any more":    {told: List{Version: 43, Full: true}, next: List{Version: 42, Full: true, Servers: []Server{at("ready", 0)}}},
+		"started anew":          {told: List{Version: 43, Servers: []Server{at("draining", 0)}}, next: List{Version: 42, Full: true, Servers: []Server{at("ready", 7)}}, ready: true},
+		"a newer list":          {told: List{Version: 43, Servers: []Server{at("draining", 0)}}, next: List{Version: 44, Servers: []Server{at("ready", 0)}}, ready: true},
+		"a whole list as newer": {told: List{Version: 43, Servers: []Server{at("draining", 0)}}, next: List{Version: 43, Full: true, Servers: []Server{at("ready", 0)}}, ready: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			book := addresses{}
+			var last core.UpstreamGroup
+			client := New("", logic.Settings{}, book, func(ev core.Event) { last = ev.(core.UpstreamGroup) })
+			client.take(List{Version: 41, Full: true, Servers: []Server{at("ready", 0)}}, false)
+			require.Len(t, book, 1)
+			if c.cut {
+				client.salvage(c.told)
+			} else {
+				client.take(c.told, false)
+			}
+			require.Empty(t, book, "it takes nothing new")
+			client.take(c.next, false)
+			if c.ready {
+				require.Len(t, book, 1)
+				require.Equal(t, logic.Ready, last.Servers[0].State)
+			} else {
+				require.Empty(t, book)
+				require.Equal(t, logic.Draining, last.Servers[0].State)
+			}
+		})
+	}
+}
+
+// addresses are those of servers that take something new.
+type addresses map[logic.ServerID]string
+
+func (a addresses) SetAddress(id logic.ServerID, addr string) { a[id] = addr }
+func (a addresses) Withdraw(id logic.ServerID)                { delete(a, id) }
+
 // A list that breaks off at any byte leaves the entries that were whole, and an error that is no good end.
 func TestAListThatBreaksOffLeavesItsWholeEntries(t *testing.T) {
 	text := `{"version":43,"more":{"a":[1]},"full":true,"servers":[{"id":"s-1","state":"draining","weight":1.0},{"id":"s-2","state":"ready"}]}`
