All limiters count a firm in one way: it follows from the settings, not from sizes met

Followed on a scratch copy with a line where a firm's figures are set (trial): firm= n=5 store=5.80, ticketed=false at the limiters that had met requests of 1.00, 1.08, 1.27 and 1.39 units on the mean, true at those with 1.52 to 1.73. The first deal the quota out in parts while the others draw all of it from the counter: nearly twice the quota, over the ceiling. Excluded: the new configuration (18.07 s, after the first break), counters lost (one call in a limiter's log before it). At fault: logic.go, figure: sparse and ticketed were asked of g.units, a mean that each limiter learns by itself. Change: a size that all know, the geometric mean between 1 and the settings' largest request. TestAllGatewaysCountAFirmAlike fails without it (bursts of 20 to 92).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,7 +85,7 @@
 		requests: map[uint64]*request{}, tokens: map[uint32]*request{},
 		customers: map[uint64]*customer{}, servers: map[ServerID]*server{}, calls: map[uint64][]call{}, units: 1,
 		resting: map[uint64]rest{}, loads: map[uint64]word{}, logged: map[string]time.Duration{},
-		guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, calling: 1 / (1 + 2*blind),
+		size: math.Sqrt(max(s.MostUnits, 1)), guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, calling: 1 / (1 + 2*blind),
 		dearest: priceOf(s.Plans), backoff: 500 * ms,
 		turnTime: max(tick, min(turnTime, time.Duration(turnShare*float64(aim)))),
 		longest:  make([]time.Duration, len(s.Classes))}
@@ -258,8 +258,8 @@
 	c.plan, c.print = p, fingerprint(p)
 	c.span, c.sparse, c.ticketed, c.parts = minSpan, false, false, c.n
 	if p.Rate > 0 {
-		c.sparse = c.n > ownView && c.store() < g.units
-		c.ticketed = c.n > ownView && c.store() < ticketed*g.units && (!c.sparse || p.CeilingRate > 0)
+		c.sparse = c.n > ownView && c.store() < g.size
+		c.ticketed = c.n > ownView && c.store() < ticketed*g.size && (!c.sparse || p.CeilingRate > 0)
 		c.sparse = c.sparse && !c.ticketed
 		if c.sparse { // most of a firm's requests come through a few: with no call to make, these hold its part
 			c.parts = min(c.n, busiest)
--- a/logic/many_test.go
+++ b/logic/many_test.go
@@ -541,3 +541,34 @@
 		}
 	}
 }
+
+// All gateways hold a firm in the same way, whatever sizes of requests each has met: one that deals the quota out beside
+// others that draw on it would let the firm past its ceiling.
+func TestAllGatewaysCountAFirmAlike(t *testing.T) {
+	draws := func(met float64, p Plan) bool {
+		set := testSettings()
+		set.Gateways, set.Plans = 6, append(set.Plans, p)
+		b := newBench(t, set, ready(30)...)
+		b.g.calling = 1
+		for k := range 200 {
+			b.arrive(Request{Customer: uint64(100 + k), Plan: 2, Units: met, Spread: 2})
+			b.run(60*ms, func() { b.answer(50 * ms) })
+		}
+		b.g.callsLeft, b.counts = callsSaved, nil
+		b.arrive(Request{Customer: 7, Plan: len(set.Plans) - 1, Units: 1})
+		return len(b.counts) == 0
+	}
+	ways := map[bool]int{}
+	for burst := 2.0; burst <= 100; burst += 2 {
+		p := fullPlan
+		p.Burst, p.CeilingBurst = burst, 2*burst
+		small, large := draws(1, p), draws(4, p)
+		if small != large {
+			t.Errorf("burst of %v: dealt out is %v where requests are small and %v where they are large", burst, small, large)
+		}
+		ways[small]++
+	}
+	if len(ways) < 2 {
+		t.Error("the bursts try one way only")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -322,6 +322,7 @@
 	calls              map[uint64][]call
 	loads              map[uint64]word // of busy customers, also ones not seen here yet
 	units              float64         // of a request, smoothed
+	size               float64         // of a request, by the settings alone: all gateways must agree how a firm is counted
 	dearest            float64         // price of the dearest plan
 	turnTime           time.Duration   // of turns at a cap: the same at all gateways, by the settings
 	callsSaved         float64         // at most
