Another deployment's file at SIGHUP: its addresses are followed, no half of its settings is in force

Seen by reading: reload took the new file's plans whatever else differed, so the classes of one deployment could stand beside the tiers of another, and what holds until a restart was said nowhere. Change: where any setting but the plans differs, the plans are left too, and one line names what differs. Addresses move as before. A test loads another deployment's file at SIGHUP.

--- a/cmd/bramblefall/config.go
+++ b/cmd/bramblefall/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"strconv"
 
 	"bramblefall/internal/discovery"
@@ -31,6 +32,24 @@
 	seed     uint64
 }
 
+// unlike names what another reading of the file says otherwise and what holds until a restart: all but the plans, the
+// addresses that are followed, the seed and the list that was known.
+func (c config) unlike(next config) (names []string) {
+	old, now := reflect.ValueOf(c.settings), reflect.ValueOf(next.settings)
+	for k := range old.NumField() {
+		if name := old.Type().Field(k).Name; name != "Plans" && !reflect.DeepEqual(old.Field(k).Interface(), now.Field(k).Interface()) {
+			names = append(names, name)
+		}
+	}
+	if c.Limits != next.Limits {
+		names = append(names, "Limits")
+	}
+	if c.Listen != next.Listen {
+		names = append(names, "Listen")
+	}
+	return names
+}
+
 // readConfig reads the platform's file. At the start, what the environment says of this limiter's place goes first.
 // Where the file is read again it is the file that has the news, and the environment only fills in.
 func readConfig(path string, again bool) (c config, err error) {
--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -213,9 +213,9 @@
 func TestANewProcessWaitsForItsAgentBeforeItServes(t *testing.T) {
 	t.Parallel()
 	left, fresh := newServer(t, "s-1", "hall-a", value("old")), newServer(t, "s-2", "hall-a", value("new"))
-	now := *left
-	now.state = "draining"
-	raw, err := json.Marshal(object{"version": 7, "full": true, "servers": entries([]*server{&now, fresh})})
+	now := entries([]*server{left, fresh})
+	now[0]["state"] = "draining"
+	raw, err := json.Marshal(object{"version": 7, "full": true, "servers": now})
 	require.NoError(t, err)
 	w := world{servers: []*server{left}, registry: agent(t, func(int) { time.Sleep(200 * time.Millisecond) }, string(raw))}
 	assert.Equal(t, "new", start(t, w).dial().do(ask("01")...))
@@ -231,3 +231,23 @@
 	w := world{servers: []*server{s}, registry: agent(t, func(int) { <-down }, "")}
 	assert.Equal(t, "v", start(t, w).dial().do(ask("01")...))
 }
+
+// Another deployment's file at SIGHUP: its addresses are followed, and nothing of its settings is in force beside the old
+// ones. Which of them differ is logged in one line.
+func TestHalfOfAnotherDeploymentIsNotInForce(t *testing.T) {
+	t.Parallel()
+	w := world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, counter: newCounter(t)}
+	l := start(t, w)
+	c := l.dial()
+	require.Equal(t, "v", c.do(ask("01")...))
+	other := class(settings(), 0, object{"name": "guide-read", "deadline": 1.0})
+	other["tariffs"] = []object{plan("grend", 1, 3, 0)}
+	next := world{settings: other, servers: w.servers, counter: newCounter(t)}
+	raw, err := json.Marshal(next.config())
+	require.NoError(t, err)
+	l.reload(raw, "settings differ that hold until a restart")
+	require.Eventually(t, func() bool { return strings.Contains(l.log.String(), "read the configuration anew") }, patience, time.Millisecond)
+	assert.Contains(t, l.log.String(), "settings=[Classes]")
+	assert.Equal(t, "v", c.do(ask("02")...), "the old class and plan")
+	require.Eventually(t, func() bool { _, conns := next.counter.made(); return conns > 0 }, patience, time.Millisecond, "the new counter")
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -106,7 +106,7 @@
 
 	lastwords.Go(func() {
 		for range told.again { // also while it drains: discovery may move meanwhile
-			reload(o, owner, list, counts)
+			reload(cfg, o, owner, list, counts)
 		}
 	})
 	<-told.end
@@ -157,8 +157,9 @@
 	return book, keeper, book.Replace(plans.File, file.Plans, file.Reservations, loop.Now(), nil)
 }
 
-// reload reads both files again. Each is used whole or not at all; what cannot be used leaves the last good one.
-func reload(o serveOptions, owner *loop.Loop, list *discovery.Client, counts *counter.Client) {
+// reload reads both files again. What cannot be used leaves the last good one. Addresses are followed; of the settings only
+// the plans can change in service, and they do not where others differ: half of another deployment's must not be in force.
+func reload(cfg config, o serveOptions, owner *loop.Loop, list *discovery.Client, counts *counter.Client) {
 	next, err := readConfig(o.config, true)
 	if err != nil {
 		slog.Error("the new configuration cannot be used, the old one is kept", "err", err)
@@ -166,7 +167,11 @@
 	}
 	list.Move(next.Discovery)
 	counts.Move(next.Counter)
-	replan(owner, "the platform's tiers", core.Reread{Tiers: next.settings.Plans})
+	if other := cfg.unlike(next); len(other) > 0 {
+		slog.Warn("settings differ that hold until a restart, the plans beside them are not taken either", "settings", other)
+	} else {
+		replan(owner, "the platform's tiers", core.Reread{Tiers: next.settings.Plans})
+	}
 	if o.operator != "" {
 		file, err := readOperator(o.operator)
 		if err != nil {
