Tests: nothing leaves for clients that left, in a dial or by hundreds

Both hold on the program as it is (ruled out by test): a client that leaves while its request waits for a connection that has not come up, and 200 that leave at once (in order, reset, with half a command, with two commands).

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -251,3 +251,72 @@
 	assert.Equal(t, "v", c.do(ask("02")...), "the old class and plan")
 	require.Eventually(t, func() bool { _, conns := next.counter.made(); return conns > 0 }, patience, time.Millisecond, "the new counter")
 }
+
+// descriptors is how many the limiter holds.
+func (l *limiter) descriptors() int {
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", l.cmd.Process.Pid))
+	require.NoError(l.t, err)
+	return len(list)
+}
+
+// A client that leaves while its request waits for a connection to a server: nothing of it leaves once that is up.
+func TestNothingLeavesForAClientThatLeftInADial(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["caps"].(object)["connectTimeout"] = 8.0
+	d := newDoor(t)
+	l := start(t, world{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
+	d.shut()
+	c := l.dial()
+	c.write(command(ask("01")...))
+	d.knocked()
+	before := l.descriptors()
+	require.NoError(t, c.conn.Close())
+	require.Eventually(t, func() bool { return l.descriptors() < before }, patience, time.Millisecond, "its end is seen")
+	_ = d.accept() // the one that filled the queue
+	late := d.accept()
+	require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
+	assert.Nil(t, readCommand(late), "a request that nobody waits for")
+}
+
+// Hundreds of clients that leave at once while their requests are held or queued: in order, with a reset, with half of the
+// next command, or with more commands than one. What is sent on afterwards is none of theirs.
+func TestNothingLeavesForABurstOfClientsThatLeft(t *testing.T) {
+	t.Parallel()
+	s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		if args[2] == "last" {
+			value("v")(conn, args)
+		}
+	})
+	w := world{servers: []*server{s}, sockets: 600}
+	l := start(t, w)
+	base := l.descriptors()
+	var clients []*client
+	for n := range 200 {
+		c := l.dial()
+		clients = append(clients, c)
+		switch text := command(ask(fmt.Sprintf("id%d", n))...); n % 4 {
+		case 1:
+			c.write(text + text[:20])
+		case 2:
+			c.write(text + command(ask(fmt.Sprintf("more%d", n))...))
+		default:
+			c.write(text)
+		}
+	}
+	require.Eventually(t, func() bool { return len(s.seen()) > 0 && l.descriptors() > base+200 }, patience, time.Millisecond)
+	for n, c := range clients {
+		if n%4 == 3 {
+			require.NoError(t, c.conn.(*net.TCPConn).SetLinger(0))
+		}
+		require.NoError(t, c.conn.Close())
+	}
+	require.Eventually(t, func() bool { return l.descriptors() < base+100 }, patience, time.Millisecond, "their ends are seen")
+	last := l.dial()
+	require.Equal(t, "+PONG", last.do("PING"))
+	time.Sleep(300 * time.Millisecond) // what crossed their ends has come by now
+	sent := len(s.seen())
+	require.Equal(t, "v", last.do(ask("last")...))
+	seen := s.seen()
+	assert.Equal(t, 1, len(seen)-sent, "only the last client's: %v", seen[sent:])
+}
--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -122,13 +122,14 @@
 	second   string // the rate limit file; "": none
 	operator string // the operators' file; "": none
 	memory   int    // the cap in MB; 0: 192
+	sockets  int    // 0: 128
 	cores    float64
 }
 
 // config is the file that tells a limiter of its world.
 func (w world) config() object {
 	cfg := object{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-		"limits": object{"cores": cmp.Or(w.cores, 1.0), "memory_mb": cmp.Or(w.memory, 192), "sockets": 128}, "settings": w.settings,
+		"limits": object{"cores": cmp.Or(w.cores, 1.0), "memory_mb": cmp.Or(w.memory, 192), "sockets": cmp.Or(w.sockets, 128)}, "settings": w.settings,
 		"known": object{"version": 1, "full": true, "servers": entries(w.servers)}}
 	if w.counter != nil {
 		cfg["counter"] = w.counter.addr
