Answers of the counter that cross a move are told in the order of the calls for a name

Seen by reading, forced in a test of the reducer: the module knows calls for one name apart by their order; after a move the answer on the new connection may come before one that is due on the old, and two requests had each other's word (the first was refused for the second's sum). At fault: core.go, counted told each answer as it came. The test fails without it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -153,8 +153,9 @@
 }
 
 type call struct {
-	name uint64
-	at   time.Duration
+	name   uint64
+	at     time.Duration
+	result *logic.CountResult // its answer, while one to an earlier call of the name is due
 }
 
 // Reducer owns all that the limiter knows. It is not safe for concurrent use: one goroutine owns it.
@@ -169,7 +170,8 @@
 	tally    Tally
 	now      time.Duration
 	requests map[uint64]*requestContext
-	calls    map[uint64]call
+	calls    map[uint64]*call
+	due      map[uint64][]uint64 // calls without an answer, by name, in their order
 	groups   map[logic.ServerID]int
 	next     uint64
 	effects  []Effect
@@ -180,7 +182,7 @@
 // New makes a reducer round a module with these settings. The book's plans go before the settings'.
 func New(set logic.Settings, seed uint64, book *plans.Book) *Reducer {
 	r := &Reducer{set: set, gateway: logic.New(set, seed), requests: map[uint64]*requestContext{},
-		calls: map[uint64]call{}, groups: map[logic.ServerID]int{}, book: book,
+		calls: map[uint64]*call{}, due: map[uint64][]uint64{}, groups: map[logic.ServerID]int{}, book: book,
 		reserves: reserve.New(set.Gateways, set.Rank, set.MostUnits), leases: map[uint64]uint64{}}
 	r.gateway.Use(book, r.reserves)
 	return r
@@ -367,22 +369,34 @@
 
 func (r *Reducer) count(a logic.Count) {
 	r.next++
-	r.calls[r.next] = call{a.Name, r.now}
+	r.calls[r.next] = &call{name: a.Name, at: r.now}
+	r.due[a.Name] = append(r.due[a.Name], r.next)
 	until := r.now + max(r.set.CounterLimit, a.Wait)
 	r.do(Count{r.next, a.Name, a.Amount, a.Lives, until})
 	r.do(SetTimer{until, Timer{countTimer, Key{ID: r.next}}})
 }
 
-// counted passes on the first word on a call: an answer that comes after its time-out changes nothing.
+// counted passes on the first word on a call: an answer that comes after its time-out changes nothing. The module is told in
+// the order of the calls for a name, which is how it knows them apart: after a move, the answer on the new connection may come
+// before one that is due on the old.
 func (r *Reducer) counted(e CountResult) {
 	if token, ok := r.leases[e.Call]; ok {
 		delete(r.leases, e.Call)
 		r.reserves.Counted(r.now, token, e.Status, e.Total)
 		return
 	}
-	if c, ok := r.calls[e.Call]; ok {
-		delete(r.calls, e.Call)
-		r.tell(logic.CountResult{Name: c.name, Status: e.Status, Total: e.Total, Latency: r.now - c.at})
+	c, ok := r.calls[e.Call]
+	if !ok || c.result != nil {
+		return
+	}
+	c.result = &logic.CountResult{Name: c.name, Status: e.Status, Total: e.Total, Latency: r.now - c.at}
+	for due := r.due[c.name]; len(due) > 0 && r.calls[due[0]].result != nil; due = r.due[c.name] {
+		answer := r.calls[due[0]].result
+		delete(r.calls, due[0])
+		if r.due[c.name] = due[1:]; len(due) == 1 {
+			delete(r.due, c.name)
+		}
+		r.tell(*answer)
 	}
 }
 
