--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,8 +85,8 @@
 		requests: map[uint64]*request{}, tokens: map[uint32]*request{},
 		customers: map[uint64]*customer{}, servers: map[ServerID]*server{}, calls: map[uint64][]call{}, units: 1,
 		resting: map[uint64]rest{}, loads: map[uint64]word{}, logged: map[string]time.Duration{},
-		size: math.Sqrt(max(s.MostUnits, 1)), guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, calling: 1 / (1 + 2*blind),
-		dearest: priceOf(s.Plans), backoff: 500 * ms,
+		size: math.Sqrt(max(s.MostUnits, 1)), guess: guess, callsLeft: callsSaved, callsSaved: callsSaved,
+		calling: 1 / (1 + 2*blind), dearest: priceOf(s.Plans), backoff: 500 * ms,
 		turnTime: max(tick, min(turnTime, time.Duration(turnShare*float64(aim)))),
 		longest:  make([]time.Duration, len(s.Classes))}
 	if g.fleet = g.group(0); blind > 0 { // what one of few may do is too much for a counter that many call
