SIGTERM before clients are let in ends with 0 at once; a list's line in any form, by test

New tests on real sockets: a line of the list in chunks, indented, byte by byte, without a length, with one, with a reset behind it (ruled out: holds as it was).

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -191,33 +194,46 @@
 	assert.Equal(t, "+PONG", c.do("PING"), "nothing but the answers came, and the connection goes on")
 }
 
-// agent answers watches of the list as the test says: hold is called with the number of the ask before anything is said.
-func agent(t *testing.T, hold func(ask int), line string) *registry {
+// agent answers watches as the test says: answer is called with the number of the ask and the connection.
+func agent(t *testing.T, answer func(ask int, conn net.Conn)) *registry {
 	asks := make(chan int, 1)
 	asks <- 0
-	addr := acceptOn(t, func(conn net.Conn) {
+	return &registry{addr: acceptOn(t, func(conn net.Conn) {
 		n := <-asks
 		asks <- n + 1
-		if _, err := conn.Read(make([]byte, 4<<10)); err != nil {
-			return
+		if _, err := conn.Read(make([]byte, 4<<10)); err == nil {
+			answer(n, conn)
 		}
-		hold(n)
-		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n", len(line)+1, line)
-		_, _ = conn.Read(make([]byte, 1)) // until the limiter leaves
-	})
-	return &registry{addr: addr}
+	})}
+}
+
+// until the limiter leaves.
+func until(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) }
+
+const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(line string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(line)+1, line) }
+
+// moved is a world whose known list names one server, and the list's line by which that one drains and another is ready.
+func moved(t *testing.T) (w world, left *server, line string) {
+	left = newServer(t, "s-1", "hall-a", value("old"))
+	now := entries([]*server{left, newServer(t, "s-2", "hall-a", value("new"))})
+	now[0]["state"] = "draining"
+	raw, err := json.Marshal(object{"version": 7, "full": true, "servers": now})
+	require.NoError(t, err)
+	return world{servers: []*server{left}}, left, string(raw)
 }
 
 // What the agent has binds a new process from its first moment: with an old list known, nothing is served by it while the
 // agent's answer is on its way.
 func TestANewProcessWaitsForItsAgentBeforeItServes(t *testing.T) {
 	t.Parallel()
-	left, fresh := newServer(t, "s-1", "hall-a", value("old")), newServer(t, "s-2", "hall-a", value("new"))
-	now := entries([]*server{left, fresh})
-	now[0]["state"] = "draining"
-	raw, err := json.Marshal(object{"version": 7, "full": true, "servers": now})
-	require.NoError(t, err)
-	w := world{servers: []*server{left}, registry: agent(t, func(int) { time.Sleep(200 * time.Millisecond) }, string(raw))}
+	w, left, line := moved(t)
+	w.registry = agent(t, func(_ int, conn net.Conn) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = conn.Write([]byte(chunked + chunk(line)))
+		until(conn)
+	})
 	assert.Equal(t, "new", start(t, w).dial().do(ask("01")...))
 	assert.Empty(t, left.seen())
 }
@@ -226,9 +242,7 @@
 func TestASilentAgentHoldsNoStartUp(t *testing.T) {
 	t.Parallel()
 	s := newServer(t, "s-1", "hall-a", value("v"))
-	down := make(chan struct{})
-	defer close(down)
-	w := world{servers: []*server{s}, registry: agent(t, func(int) { <-down }, "")}
+	w := world{servers: []*server{s}, registry: agent(t, func(_ int, conn net.Conn) { until(conn) })}
 	assert.Equal(t, "v", start(t, w).dial().do(ask("01")...))
 }
 
@@ -320,3 +334,81 @@
 	seen := s.seen()
 	assert.Equal(t, 1, len(seen)-sent, "only the last client's: %v", seen[sent:])
 }
+
+// A line of the list is whole when its last byte has come, in whatever form the answer is: without a length, with one, in
+// chunks, indented, a byte at a time; and a reset behind it takes nothing of it back.
+func TestAWholeLineIsWholeInAnyForm(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		head   string
+		chunks bool
+		indent bool
+		slowly bool
+	}{
+		"chunks":         {head: chunked, chunks: true},
+		"indented":       {head: chunked, chunks: true, indent: true},
+		"byte by byte":   {head: chunked, chunks: true, slowly: true},
+		"no length":      {head: "HTTP/1.1 200 OK\r\n\r\n"},
+		"no length, 1.0": {head: "HTTP/1.0 200 OK\r\n\r\n", indent: true},
+		"a length":       {head: "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w, left, line := moved(t)
+			if c.indent {
+				var b bytes.Buffer
+				require.NoError(t, json.Indent(&b, []byte(line), "", "  "))
+				line = b.String()
+			}
+			text := line + "\n"
+			if c.chunks {
+				text = chunk(line)
+			}
+			if strings.Contains(c.head, "%d") {
+				text = fmt.Sprintf(c.head, len(text)) + text
+			} else {
+				text = c.head + text
+			}
+			taken := make(chan struct{})
+			w.registry = agent(t, func(n int, conn net.Conn) {
+				if n > 0 {
+					until(conn) // only the first answer says anything
+					return
+				}
+				for k := range len(text) {
+					if _, err := conn.Write([]byte(text[k : k+1])); !c.slowly || err != nil {
+						_, _ = conn.Write([]byte(text[k+1:]))
+						break
+					}
+				}
+				<-taken
+				reset(conn, nil)
+			})
+			l := start(t, w)
+			cl := l.dial()
+			assert.Equal(t, "new", cl.do(ask("01")...))
+			close(taken)
+			require.Eventually(t, func() bool { return strings.Contains(l.log.String(), "the watch of discovery ended") }, patience, time.Millisecond)
+			assert.Equal(t, "new", cl.do(ask("02")...))
+			assert.Empty(t, left.seen())
+		})
+	}
+}
+
+// SIGTERM while a new process waits for its agent's first word: nothing was accepted, and it ends with 0.
+func TestToldToEndBeforeClientsAreLetIn(t *testing.T) {
+	t.Parallel()
+	asked := make(chan struct{})
+	w := world{settings: settings(), registry: agent(t, func(n int, conn net.Conn) {
+		if n == 0 {
+			close(asked)
+		}
+		until(conn)
+	})}
+	cmd := exec.Command(binary, "-config", writeJSON(t, filepath.Join(t.TempDir(), "config.json"), w.config()))
+	require.NoError(t, cmd.Start())
+	defer func() { _ = cmd.Process.Kill() }()
+	await(t, asked, "the first ask")
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, cmd.Wait())
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -78,8 +78,15 @@
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
 		lastwords.Go(func() { run(ctx) })
 	}
-	if !list.Heard(firstList) {
-		slog.Info("discovery says nothing yet, serving by the list that was known", "servers", len(cfg.Known.Servers))
+	if cfg.Discovery != "" {
+		select {
+		case <-list.Heard():
+		case <-time.After(firstList):
+			slog.Info("discovery says nothing yet, serving by the list that was known", "servers", len(cfg.Known.Servers))
+		case <-told.end:
+			slog.Info("told to end before clients were let in")
+			return nil
+		}
 	}
 	front := platform.New(cfg.settings, owner, board, most-most/2, int64(heldShare*float64(cfg.Limits.MemoryMB<<20)),
 		cfg.Limits.Cores)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -89,22 +89,9 @@
 // Known takes the list that this limiter last held. It may be old.
 func (c *Client) Known(l List) { c.take(l, true) }
 
-// Heard waits until discovery has brought a whole line, for so long at most. Guards against a new process that serves by an
-// old list: what the agent has binds it from its first moment.
-func (c *Client) Heard(limit time.Duration) bool {
-	c.mu.Lock()
-	addr := c.addr
-	c.mu.Unlock()
-	if addr == "" {
-		return true
-	}
-	select {
-	case <-c.heard:
-		return true
-	case <-time.After(limit):
-		return false
-	}
-}
+// Heard is closed once discovery has brought a whole line. Guards against a new process that serves by an old list: what the
+// agent has binds it from its first moment.
+func (c *Client) Heard() <-chan struct{} { return c.heard }
 
 // Move follows the list at another address from now on. Guards against a watch that lives on at an address that
 // tells nothing more: it is left at once, and not asked again after the usual wait.
