What is given up is reset: what the kernel still holds of it does not reach its server later

Seen (new test, real program): a command of 60 KB to a server that does not read; its client leaves, the try is given up and its connection closed, and 61,577 bytes, all of it, are read by the server afterwards. The same would hold for a server that was cut off and comes back: the command arrives long after its time. At fault: socket.Conn.Close closes in order, so the kernel goes on sending. Cut sets no linger, so the close resets. Excluded: the limiter's own write was over (the kernel held all of it), so no check in the pool could see it. With the test of a client that leaves between two tries, which held.

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -412,3 +413,47 @@
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, cmd.Wait())
 }
+
+// The same where its first try has failed, and the next waits for a connection.
+func TestNothingLeavesForAClientThatLeftBetweenTwoTries(t *testing.T) {
+	t.Parallel()
+	set := settings()
+	set["caps"].(object)["connectTimeout"] = 8.0
+	d := newDoor(t)
+	l := start(t, world{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
+	c := l.dial()
+	c.write(command(ask("01")...))
+	first := d.accept()
+	require.NotNil(t, readCommand(first))
+	d.shut()
+	_, err := first.Write([]byte("-ERR failed\r\n"))
+	require.NoError(t, err)
+	d.knocked()
+	before := l.descriptors()
+	require.NoError(t, c.conn.Close())
+	require.Eventually(t, func() bool { return l.descriptors() < before }, patience, time.Millisecond, "its end is seen")
+	_ = d.accept() // the one that filled the queue
+	late := d.accept()
+	require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
+	assert.Nil(t, readCommand(late), "a request that nobody waits for")
+}
+
+// A client that leaves while the rest of its large command waits for a server that does not read: it is never whole.
+func TestALargeCommandIsNotFinishedForAClientThatLeft(t *testing.T) {
+	t.Parallel()
+	d := newDoor(t)
+	require.NoError(t, syscall.SetsockoptInt(d.fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048)) // its connections inherit it
+	l := start(t, world{servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
+	c := l.dial()
+	args := post("01")
+	args[4] = strings.Repeat("b", 60<<10)
+	c.write(command(args...))
+	conn := d.accept()
+	_, err := conn.Read(make([]byte, 1)) // it has begun
+	require.NoError(t, err)
+	before := l.descriptors()
+	require.NoError(t, c.conn.Close())
+	require.Eventually(t, func() bool { return l.descriptors() <= before-2 }, patience, time.Millisecond, "both connections are over")
+	rest, _ := io.ReadAll(conn)
+	assert.Less(t, len(rest), 60<<10, "all of it has come")
+}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -174,14 +174,23 @@
 // Refuse ends a connection that OnPrepare has been handed and that is not registered with the poller yet. Closing it
 // there or from a goroutine would race with that: the descriptor could be another connection's by then. The poller
 // sees the end that this makes and closes.
-func (c *Conn) Refuse() { c.Cut() }
+func (c *Conn) Refuse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.over {
+		_ = syscall.Shutdown(c.raw.(netpoll.Conn).Fd(), syscall.SHUT_RDWR)
+	}
+}
 
-// Cut ends both directions at once, also where a write is under way; Close has still to be called. It waits for nothing.
+// Cut ends both directions at once, also where a write is under way, and what the kernel still holds of it is not sent once
+// Close, which has still to be called, has reset the connection. It waits for nothing.
 func (c *Conn) Cut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.over {
-		_ = syscall.Shutdown(c.raw.(netpoll.Conn).Fd(), syscall.SHUT_RDWR)
+		fd := c.raw.(netpoll.Conn).Fd()
+		_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		_ = syscall.Shutdown(fd, syscall.SHUT_RDWR)
 	}
 }
 
