--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -241,9 +241,12 @@
 			slog.Warn("unknown state of a server", "id", s.ID, "state", s.State)
 			state = logic.Draining
 		}
-		if state = c.stays(s, state, l.Version); state != logic.Ready {
+		switch {
+		case state != logic.Ready:
 			c.left[s.ID] = leaving{max(l.Version, c.left[s.ID].version), s.StartedMS, time.Now()}
-		} else {
+		case c.stays(s, l.Version):
+			state = logic.Draining
+		default:
 			delete(c.left, s.ID)
 		}
 		if c.listed[s.ID] = id; state == logic.Gone {
@@ -269,16 +272,17 @@
 	c.post(core.UpstreamGroup{ServerList: out})
 }
 
-// stays tells a server's state once more. Guards against a drain that is taken back by an older word: a list from before it
-// may come behind it, from another watch or another address, or behind a line that broke off.
-func (c *Client) stays(s Server, state logic.ServerState, version int64) logic.ServerState {
+// stays tells whether a server that a list calls ready takes nothing new all the same. Guards against a drain that is taken
+// back by an older word: a list from before it may come behind it, from another watch or another address, or behind a line
+// that broke off.
+func (c *Client) stays(s Server, version int64) bool {
 	was, ok := c.left[s.ID]
-	if state != logic.Ready || !ok || version >= was.version || time.Since(was.at) > remembered {
-		return state
+	if !ok || version >= was.version || time.Since(was.at) > remembered {
+		return false
 	}
 	if was.started != anyStart && was.started != s.StartedMS {
-		return state // it has started anew
+		return false // it has started anew
 	}
 	slog.Info("an older list says ready of a server that takes nothing new", "id", s.ID, "version", version, "told", was.version)
-	return logic.Draining
+	return true
 }
