--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -275,24 +275,39 @@
 	return len(list)
 }
 
-// A client that leaves while its request waits for a connection to a server: nothing of it leaves once that is up.
+// A client that leaves while its request waits for a connection to a server, at its first try or after a failed one: nothing
+// of it leaves once that is up.
 func TestNothingLeavesForAClientThatLeftInADial(t *testing.T) {
 	t.Parallel()
-	set := settings()
-	set["caps"].(object)["connectTimeout"] = 8.0
-	d := newDoor(t)
-	l := start(t, world{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
-	d.shut()
-	c := l.dial()
-	c.write(command(ask("01")...))
-	d.knocked()
-	before := l.descriptors()
-	require.NoError(t, c.conn.Close())
-	require.Eventually(t, func() bool { return l.descriptors() < before }, patience, time.Millisecond, "its end is seen")
-	_ = d.accept() // the one that filled the queue
-	late := d.accept()
-	require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
-	assert.Nil(t, readCommand(late), "a request that nobody waits for")
+	for name, again := range map[string]bool{"first try": false, "between two tries": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := settings()
+			set["caps"].(object)["connectTimeout"] = 8.0
+			d := newDoor(t)
+			l := start(t, world{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
+			c := l.dial()
+			if !again {
+				d.shut()
+			}
+			c.write(command(ask("01")...))
+			if again {
+				first := d.accept()
+				require.NotNil(t, readCommand(first))
+				d.shut()
+				_, err := first.Write([]byte("-ERR failed\r\n"))
+				require.NoError(t, err)
+			}
+			d.knocked()
+			before := l.descriptors()
+			require.NoError(t, c.conn.Close())
+			require.Eventually(t, func() bool { return l.descriptors() < before }, patience, time.Millisecond, "its end is seen")
+			_ = d.accept() // the one that filled the queue
+			late := d.accept()
+			require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
+			assert.Nil(t, readCommand(late), "a request that nobody waits for")
+		})
+	}
 }
 
 // Hundreds of clients that leave at once while their requests are held or queued: in order, with a reset, with half of the
@@ -415,30 +430,6 @@
 	require.NoError(t, cmd.Wait())
 }
 
-// The same where its first try has failed, and the next waits for a connection.
-func TestNothingLeavesForAClientThatLeftBetweenTwoTries(t *testing.T) {
-	t.Parallel()
-	set := settings()
-	set["caps"].(object)["connectTimeout"] = 8.0
-	d := newDoor(t)
-	l := start(t, world{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
-	c := l.dial()
-	c.write(command(ask("01")...))
-	first := d.accept()
-	require.NotNil(t, readCommand(first))
-	d.shut()
-	_, err := first.Write([]byte("-ERR failed\r\n"))
-	require.NoError(t, err)
-	d.knocked()
-	before := l.descriptors()
-	require.NoError(t, c.conn.Close())
-	require.Eventually(t, func() bool { return l.descriptors() < before }, patience, time.Millisecond, "its end is seen")
-	_ = d.accept() // the one that filled the queue
-	late := d.accept()
-	require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
-	assert.Nil(t, readCommand(late), "a request that nobody waits for")
-}
-
 // A client that leaves while the rest of its large command waits for a server that does not read: it is never whole.
 func TestALargeCommandIsNotFinishedForAClientThatLeft(t *testing.T) {
 	t.Parallel()
