The guard of descriptors says what it guards against

Read again, it accepts one connection an event; that more are open than are bounded comes from the closes of refused ones, which wait for their pollers. Measured were the descriptors, not this cause.

--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -21,8 +21,8 @@
 }
 
 // Room sets who says whether there is room for one more connection, the one just accepted included. Where there is none it
-// is closed at once. Guards the descriptors: netpoll takes all that waits in the queue before it looks at anything else, and
-// closes what is refused to it only then. It is called before the first Accept.
+// is closed at once. Guards the descriptors: one that is refused later is closed only when its poller comes to it, and more are
+// accepted meanwhile. It is called before the first Accept.
 func (l *Listener) Room(room func() bool) { l.room = room }
 
 // Listen opens the address.
