--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -66,11 +66,11 @@
 	moved  context.CancelFunc // ends the watches that the address was followed with
 	ids    map[string]logic.ServerID
 	listed map[string]logic.ServerID // those that the last whole list or a change since has named, but not as gone
-	left   map[string]leaving
+	drains map[string]drain
 }
 
-// leaving is what was told of a server that takes nothing new.
-type leaving struct {
+// drain is what was told of a server that takes nothing new.
+type drain struct {
 	version, started int64
 	at               time.Time
 }
@@ -82,7 +82,7 @@
 // New makes a client of discovery at an address.
 func New(addr string, set logic.Settings, book Addresses, post func(core.Event)) *Client {
 	heard := make(chan struct{})
-	return &Client{heard: heard, hear: sync.OnceFunc(func() { close(heard) }), left: map[string]leaving{}, addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
+	return &Client{heard: heard, hear: sync.OnceFunc(func() { close(heard) }), drains: map[string]drain{}, addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
 		listed: map[string]logic.ServerID{}, terms: termsOf(set)}
 }
 
@@ -208,7 +208,7 @@
 		for name, id := range before {
 			if _, ok := c.listed[name]; !ok {
 				c.book.Withdraw(id) // gone: a whole list names no such server
-				c.left[name] = leaving{l.Version, anyStart, time.Now()}
+				c.drains[name] = drain{l.Version, anyStart, time.Now()}
 			}
 		}
 	}
@@ -243,11 +243,11 @@
 		}
 		switch {
 		case state != logic.Ready:
-			c.left[s.ID] = leaving{max(l.Version, c.left[s.ID].version), s.StartedMS, time.Now()}
+			c.drains[s.ID] = drain{max(l.Version, c.drains[s.ID].version), s.StartedMS, time.Now()}
 		case c.stays(s, l.Version):
 			state = logic.Draining
 		default:
-			delete(c.left, s.ID)
+			delete(c.drains, s.ID)
 		}
 		if c.listed[s.ID] = id; state == logic.Gone {
 			delete(c.listed, s.ID)
@@ -264,9 +264,9 @@
 		}
 		out.Servers = append(out.Servers, e)
 	}
-	for id, was := range c.left {
+	for id, was := range c.drains {
 		if time.Since(was.at) > remembered {
-			delete(c.left, id)
+			delete(c.drains, id)
 		}
 	}
 	c.post(core.UpstreamGroup{ServerList: out})
@@ -276,7 +276,7 @@
 // back by an older word: a list from before it may come behind it, from another watch or another address, or behind a line
 // that broke off.
 func (c *Client) stays(s Server, version int64) bool {
-	was, ok := c.left[s.ID]
+	was, ok := c.drains[s.ID]
 	if !ok || version >= was.version || time.Since(was.at) > remembered {
 		return false
 	}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -54,15 +54,15 @@
 // reads no clock; watches go by their numbers, from 1.
 type follower struct {
 	terms
-	last  int           // the newest watch
-	live  int           // the one that is listened to; 0: none, the next is due
-	kept  int           // one before, which fell silent between two lines and may go on; 0: none
-	hung  int           // the last that has brought nothing: its answer may come once discovery is back; 0: none
-	mute  bool          // the last that was left had brought nothing and had not ended
-	lines bool          // live has brought one
-	some  bool          // the last that ended had brought something
-	began time.Duration // live
-	tries int           // in a row that came to little
+	last    int           // the newest watch
+	live    int           // the one that is listened to; 0: none, the next is due
+	kept    int           // one before, which fell silent between two lines and may go on; 0: none
+	pending int           // the last that has brought nothing: its answer may come once discovery is back; 0: none
+	silent  bool          // the last that was left had brought nothing and had not ended
+	lines   bool          // live has brought one
+	some    bool          // the last that ended had brought something
+	began   time.Duration // live
+	tries   int           // in a row that came to little
 }
 
 // ask begins a watch.
@@ -74,15 +74,15 @@
 
 // heard takes note of a line. It tells whether to believe it and which watches are of no more use.
 func (f *follower) heard(watch int) (believed bool, drop []int) {
-	if watch == 0 || watch != f.live && watch != f.kept && watch != f.hung {
+	if watch == 0 || watch != f.live && watch != f.kept && watch != f.pending {
 		return false, nil
 	}
-	for _, other := range []int{f.live, f.kept, f.hung} {
+	for _, other := range []int{f.live, f.kept, f.pending} {
 		if other != 0 && other != watch {
 			drop = append(drop, other)
 		}
 	}
-	f.live, f.kept, f.hung, f.lines, f.mute = watch, 0, 0, true, false
+	f.live, f.kept, f.pending, f.lines, f.silent = watch, 0, 0, true, false
 	return true, drop
 }
 
@@ -94,8 +94,8 @@
 	case watch == 0:
 	case mid && watch == f.kept:
 		drop, f.kept = f.kept, 0
-	case mid && watch == f.hung:
-		drop, f.hung = f.hung, 0
+	case mid && watch == f.pending:
+		drop, f.pending = f.pending, 0
 	case watch == f.live:
 		switch {
 		case mid:
@@ -103,11 +103,11 @@
 		case f.lines:
 			f.kept = f.live
 		default:
-			drop, f.hung = f.hung, f.live
+			drop, f.pending = f.pending, f.live
 		}
-		mute := !f.lines && !mid
+		silent := !f.lines && !mid
 		f.leave(now, mid)
-		f.mute, due = mute, true
+		f.silent, due = silent, true
 	}
 	return drop, due
 }
@@ -118,8 +118,8 @@
 	case watch == 0:
 	case watch == f.kept:
 		f.kept = 0
-	case watch == f.hung:
-		f.hung = 0
+	case watch == f.pending:
+		f.pending = 0
 	case watch == f.live:
 		f.leave(now, mid)
 		return true
@@ -132,7 +132,7 @@
 	if f.tries++; f.lines && now-f.began > lastRetry {
 		f.tries = 0
 	}
-	f.live, f.lines, f.mute = 0, false, false
+	f.live, f.lines, f.silent = 0, false, false
 }
 
 // pause is the wait before the next ask; luck is from 0 to 1. Guards against all limiters of a fleet asking in step, and
@@ -140,7 +140,7 @@
 // limiter would have been told had it asked binds it (drains). An agent that says nothing is asked again soon in a fleet of
 // any size: it is this machine's alone, and answers at no cost.
 func (f *follower) pause(luck float64) time.Duration {
-	if f.mute {
+	if f.silent {
 		return time.Duration(luck * again * float64(f.grace))
 	}
 	if f.tries == 0 {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -261,10 +261,10 @@
 
 // slot keeps the place of a command's answer: a slow one holds back those behind it.
 type slot struct {
-	answer []byte
-	done   bool
-	last   bool // the connection closes after it
-	also   int  // commands behind it that are refused, since too many were waiting
+	answer  []byte
+	done    bool
+	last    bool // the connection closes after it
+	refused int  // commands behind it that are turned away, since too many were waiting
 }
 
 // ready is told when bytes have come.
@@ -372,7 +372,7 @@
 		return s, false
 	}
 	last := c.slots[len(c.slots)-1]
-	if last.also++; last.also > mostRefused {
+	if last.refused++; last.refused > mostRefused {
 		c.ending = true
 		lastwords.Go(c.conn.Close)
 		return nil, true
@@ -405,7 +405,7 @@
 		if c.slots = c.slots[1:]; c.gone {
 			continue
 		}
-		for range s.also {
+		for range s.refused {
 			s.answer = append(s.answer, tooBusy...)
 		}
 		if c.out.Write(s.answer) != nil {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -182,9 +182,9 @@
 	}
 }
 
-// Cut ends both directions at once, also where a write is under way, and what the kernel still holds of it is not sent once
+// Abort ends both directions at once, also where a write is under way, and what the kernel still holds of it is not sent once
 // Close, which has still to be called, has reset the connection. It waits for nothing.
-func (c *Conn) Cut() {
+func (c *Conn) Abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.over {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -211,7 +211,7 @@
 	p.post(o)
 	if c := f.on; c != nil { // no answer was read: what may come on this connection belongs to nobody
 		c.flight, f.on = nil, nil
-		c.conn.Cut() // before the next try of this request may leave: it would be a second copy beside an open one
+		c.conn.Abort() // before the next try of this request may leave: it would be a second copy beside an open one
 		p.drop(c)
 	}
 }
