--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -284,9 +284,10 @@
 	p.write(c, f)
 }
 
-// write sends a flight's bytes, unless its time is over: the connection may have come up late. Guards against a repeat
-// that no server drops any more, and against a request that nobody waits for, while the reducer has not said so yet. An idle connection's send buffer is empty, since the server has answered all
-// that was in it, so a small flush never waits; a larger one has a goroutine of its own.
+// write sends a flight's bytes, unless its time is over: the connection may have come up late. Guards against a repeat that
+// no server drops any more, and against a request that nobody waits for, while the reducer has not said so yet. An idle
+// connection's send buffer is empty, since the server has answered all that was in it, so a small flush never waits; a
+// larger one has a goroutine of its own.
 func (p *Pool) write(c *connection, f *flight) {
 	left := f.until - p.now()
 	if left <= 0 {
