--- /dev/null
+++ b/internal/scale/figures.go
@@ -0,0 +1,67 @@
+// Package scale measures what the control side of a large fleet costs: hollow limiters beside real ones, slopes over sizes,
+// moments. Nothing of it is in the limiter.
+package scale
+
+// Figures is what a run of the rig measured. Its JSON is what docs/CAPACITY.md is checked from.
+type Figures struct {
+	Version  int          `json:"version"` // of this form: 1
+	Seed     uint64       `json:"seed"`
+	Quick    bool         `json:"quick"`
+	Partial  string       `json:"partial,omitempty"` // why the run ended before its end; "": it is whole
+	Cores    int          `json:"cores"`
+	MemoryMB int          `json:"memory_mb"` // the machine's
+	Slopes   []Slope      `json:"slopes"`
+	Quota    []QuotaError `json:"quota"`
+	Moments  []Moment     `json:"moments"`
+	Added    []AddedTime  `json:"added"`
+}
+
+// Slope is a straight line through what was measured at several sizes.
+type Slope struct {
+	Role      string    `json:"role"`    // limiter, counter, discovery, distribution or tools
+	What      string    `json:"what"`    // memory, processor, messages or bytes
+	Unit      string    `json:"unit"`    // bytes, seconds/s, 1/s, bytes/s
+	Against   string    `json:"against"` // limiters, servers, services, tenants_known, tenants_active, routes, changes, requests
+	Sizes     []float64 `json:"sizes"`
+	Values    []float64 `json:"values"`
+	Intercept float64   `json:"intercept"`
+	PerUnit   float64   `json:"per_unit"`
+	Error     float64   `json:"error"` // standard error of PerUnit
+	Held      string    `json:"held"`  // what the other sizes were
+}
+
+// QuotaError is how far quotas were missed in the model, by plan.
+type QuotaError struct {
+	Plan            string  `json:"plan"`
+	Limiters        int     `json:"limiters"`
+	Counters        int     `json:"counters"`
+	Speed           float64 `json:"speed"` // of a counter, in times the platform's; 0: unlimited
+	Beyond          float64 `json:"beyond"`
+	RefusedWithRoom float64 `json:"refused_with_room"` // share of the tries refused with half of the quota unused
+	CallsPerRequest float64 `json:"calls_per_request"`
+	Unanswered      float64 `json:"unanswered"` // share of the calls without an answer in time
+	Seeds           int     `json:"seeds"`
+	Spread          float64 `json:"spread"` // of Beyond over the seeds, standard deviation
+}
+
+// Moment is one event that all limiters have to hear of, or to bear.
+type Moment struct {
+	Name     string  `json:"name"` // change, rack, zone, restart, regions, day
+	Limiters int     `json:"limiters"`
+	Servers  int     `json:"servers"`
+	P99      float64 `json:"p99_s"`
+	Last     float64 `json:"last_s"`
+	Messages float64 `json:"messages"`
+	Bytes    float64 `json:"bytes"`
+	Model    bool    `json:"model"` // in the model's time, not on sockets
+	Note     string  `json:"note,omitempty"`
+}
+
+// AddedTime is what a real limiter adds to a request.
+type AddedTime struct {
+	PerSecond float64 `json:"per_second"` // requests of each real limiter
+	Control   bool    `json:"control"`    // with the control side at the target's rate
+	P50       float64 `json:"p50_ms"`
+	P99       float64 `json:"p99_ms"`
+	Requests  int     `json:"requests"`
+}
