A list in several lines is one word: its first line lets nobody in

Seen: an answer whose first chunk is "{\n", the rest of an indented list 300 ms later: the limiter serves at once, by the list that it was started with. In a second probe the list stops behind an entry's "},\n": the watch is doubted after 2.5 s, not after a quarter of the grace, though what it has told of a drain binds.

Excluded: the decoder (it hands on a list at its last bracket, in any form) and the belief (f.heard does as it is told). At fault: body.Read in watch.go, which says a line for each "\n" that comes, with c.hear() for it in follow; and beating.Read, for which a last byte "\n" is no middle. In a compact list the line was even said before its list was parsed.

Change: body cuts the answer by its brackets. A read ends with a list, so that an empty line is told in its turn, behind the list before it; only empty lines between lists are told. Clients are let in when the list has been taken. The pulse's middle is that of a line on the connection or of a list in the body.

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -486,3 +486,44 @@
 		}
 	}
 }
+
+// The first line of an indented list is no word yet: nobody is let in while the rest of it is on its way, by the list that
+// was known before.
+func TestTheFirstLineOfAnIndentedListLetsNobodyIn(t *testing.T) {
+	t.Parallel()
+	for range 10 { // a limiter lets clients in after a second whatever has come: a machine that stood still gives no verdict
+		w, left, line := moved(t)
+		w.settings = settings()
+		w.settings["rules"].(object)["drainGrace"] = 2.0 // a list may stand still for longer than this test lets it
+		var b bytes.Buffer
+		require.NoError(t, json.Indent(&b, []byte(line), "", "  "))
+		first, rest, _ := strings.Cut(b.String(), "\n")
+		serving, whole := make(chan struct{}), make(chan struct{})
+		w.registry = agent(t, func(n int, conn net.Conn) {
+			if n == 0 {
+				_, _ = conn.Write([]byte(chunked + chunk(first)))
+				select {
+				case <-serving: // too soon
+				case <-time.After(300 * time.Millisecond):
+					close(whole)
+				}
+				_, _ = conn.Write([]byte(chunk(rest)))
+			}
+			until(conn)
+		})
+		l := start(t, w)
+		close(serving)
+		if strings.Contains(l.log.String(), "discovery says nothing yet") {
+			continue
+		}
+		select {
+		case <-whole:
+		default:
+			require.Fail(t, "let in by the first line")
+		}
+		assert.Equal(t, "new", l.dial().do(ask("01")...))
+		assert.Empty(t, left.seen())
+		return
+	}
+	require.Fail(t, "discovery's word came too late each time")
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -21,7 +21,6 @@
 const (
 	dialLimit = time.Second
 	logEvery  = time.Second
-	mostLine  = 4 << 20 // of the list
 )
 
 // List is discovery's form of the servers, whole or as changes.
@@ -58,7 +57,7 @@
 	terms terms
 
 	version atomic.Int64
-	heard   chan struct{} // closed once discovery has brought a whole line
+	heard   chan struct{} // closed once discovery has brought a whole word: a list, or an empty line where there is no news
 	hear    func()
 
 	mu     sync.Mutex
@@ -89,7 +88,8 @@
 // Known takes the list that this limiter last held. It may be old.
 func (c *Client) Known(l List) { c.take(l, true) }
 
-// Heard is closed once discovery has brought a whole line. Guards against a new process that serves by an old list: what the
+// Heard is closed once discovery has brought a whole word, and what it says is taken: a list to its end, or an empty line between
+// lists. Guards against a new process that serves by an old list: what the
 // agent has binds it from its first moment.
 func (c *Client) Heard() <-chan struct{} { return c.heard }
 
@@ -162,7 +162,7 @@
 				if believed && x.list != nil {
 					c.take(*x.list, false)
 				}
-				if believed && x.list == nil {
+				if believed {
 					c.hear()
 				}
 			case doubt:
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,13 +26,11 @@
 type kind uint8
 
 const (
-	line  kind = iota // a line has come; without a list: an empty one, or the list comes next
+	line  kind = iota // a whole list has come; without one: an empty line between lists
 	doubt             // nothing has come for too long
 	over              // the connection has ended
 )
 
-var errLong = errors.New("discovery's list is too long")
-
 // watch reads one watch until it ends or here does. Words are said as long as the address is followed.
 func (c *Client) watch(here, followed context.Context, n int, url string, words chan<- word) {
 	say := func(w word) {
@@ -44,14 +41,14 @@
 		}
 	}
 	p := &pulse{terms: c.terms}
-	p.timer = lastwords.AfterFunc(c.terms.head(), func() { say(word{kind: doubt, mid: p.mid.Load()}) })
+	p.timer = lastwords.AfterFunc(c.terms.head(), func() { say(word{kind: doubt, mid: p.mid()}) })
 	defer p.timer.Stop()
 	l, err := lists(here, url, p, func(l *List) { say(word{kind: line, list: l}) })
-	say(word{kind: over, mid: p.mid.Load(), list: l, err: err})
+	say(word{kind: over, mid: p.mid(), list: l, err: err})
 }
 
-// lists hands on the lists of an answer as they come, and nil for each line that ends. With the error comes what had come
-// of the last.
+// lists hands on the lists of an answer as they come, and nil for an empty line between them. With the error comes what had
+// come of the last.
 func lists(ctx context.Context, url string, p *pulse, take func(*List)) (*List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -65,7 +62,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery answers %s", answer.Status)
 	}
-	in := json.NewDecoder(&body{from: answer.Body, line: func() { take(nil) }})
+	in := json.NewDecoder(&body{from: answer.Body, pulse: p, empty: func() { take(nil) }})
 	for {
 		l, err := next(in)
 		if err != nil {
@@ -140,7 +137,27 @@
 type pulse struct {
 	terms terms
 	timer *time.Timer
-	mid   atomic.Bool // the last byte ended no line
+	open  atomic.Bool // the last byte on the connection ended no line
+	list  atomic.Bool // a list has begun in the body, and not ended
+}
+
+// mid tells whether the answer stands in the middle of a line, or of a list that goes over several. Guards against an
+// indented list that stops at the end of one of its lines and is waited for as if it stood between two lists.
+func (p *pulse) mid() bool { return p.open.Load() || p.list.Load() }
+
+func (p *pulse) beat() {
+	if p.mid() {
+		p.timer.Reset(p.terms.stuck())
+	} else {
+		p.timer.Reset(silence)
+	}
+}
+
+// within notes whether the body stands in a list.
+func (p *pulse) within(list bool) {
+	if p.list.Swap(list) != list {
+		p.beat()
+	}
 }
 
 func (p *pulse) dial(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -160,32 +177,93 @@
 func (c beating) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		mid := b[n-1] != '\n'
-		if c.pulse.mid.Store(mid); mid {
-			c.pulse.timer.Reset(c.pulse.terms.stuck())
-		} else {
-			c.pulse.timer.Reset(silence)
-		}
+		c.pulse.open.Store(b[n-1] != '\n')
+		c.pulse.beat()
 	}
 	return n, err
 }
 
-// body tells of the lines of an answer, and bounds them.
+// body hands on the lists of an answer, and tells of the empty lines between them in their turn: a read ends with a list,
+// so that the next one comes when that list has been taken. Guards against the end of any line being heard as a whole word.
 type body struct {
-	from io.Reader
-	line func()
-	size int // of the line that has begun
+	from  io.Reader
+	pulse *pulse
+	empty func()
+
+	buf  [4 << 10]byte
+	left []byte // of buf: what is not handed on yet
+	err  error  // behind left
+
+	list   bool // one has begun
+	depth  int  // of its objects and arrays that are open
+	text   bool // a string is
+	escape bool // and its next byte ends nothing
+	words  bool // something stands on this line
 }
 
 func (r *body) Read(b []byte) (int, error) {
-	n, err := r.from.Read(b)
-	end := bytes.LastIndexByte(b[:n], '\n')
-	if r.size += n; end >= 0 {
-		r.size = n - 1 - end
-		r.line()
+	for {
+		switch {
+		case len(r.left) > 0 && !r.list:
+			r.between()
+		case len(r.left) > 0:
+			return r.hand(b), nil
+		case r.err != nil:
+			return 0, r.err // alone: json's decoder drops an error beside bytes that end a value
+		default:
+			r.pulse.within(r.list)
+			n, err := r.from.Read(r.buf[:])
+			r.left, r.err = r.buf[:n], err
+		}
+	}
+}
+
+// between passes over what stands between two lists, up to the next.
+func (r *body) between() {
+	empty := false
+	defer func() {
+		if empty {
+			r.empty()
+		}
+	}()
+	for len(r.left) > 0 {
+		switch c := r.left[0]; c {
+		case '\n':
+			empty = empty || !r.words
+			r.words = false
+		case ' ', '\t', '\r':
+		case '{':
+			r.list, r.words = true, true
+			return
+		default:
+			r.left, r.err = nil, fmt.Errorf("discovery's list: %q where { belongs", c)
+			return
+		}
+		r.left = r.left[1:]
 	}
-	if r.size > mostLine {
-		return n, errLong
+}
+
+// hand copies what has come of a list, up to its end. Whether it is in order is the decoder's to say.
+func (r *body) hand(b []byte) int {
+	n := 0
+	for r.list && n < min(len(b), len(r.left)) {
+		c := r.left[n]
+		n++
+		switch {
+		case r.escape:
+			r.escape = false
+		case r.text:
+			r.text, r.escape = c != '"', c == '\\'
+		case c == '"':
+			r.text = true
+		case c == '{' || c == '[':
+			r.depth++
+		case c == '}' || c == ']':
+			r.depth--
+			r.list = r.depth > 0
+		}
 	}
-	return n, err
+	copy(b, r.left[:n])
+	r.left = r.left[n:]
+	return n
 }
