Nothing leaves for a client that has gone, asked of the kernel where bytes leave

Seen: a limiter that stood still (SIGSTOP in a test, as a process without its processor) while clients wrote a request and closed sent some of these on when it went on: 0.1 s and more after the close, which is a break now. The same with a busy loop: tries that are decided before the end is handled leave after it.

Cause: only the reducer withdrew a request, after the end had come through netpoll's poller, its callback (which waits for the reading side), a goroutine and the inbox. Excluded, too: that netpoll stops reading at the cap of commands; it never does, and the end is seen there.

Lines at fault: Pool.write and Pool.start in internal/upstream, which looked at the try's time alone; Caller.Try in internal/ratelimit, whose calls had no tie to their callers.

Change: Conn.Left asks the kernel with poll(POLLRDHUP); Pool.due asks it before an idle connection is taken, before a dial and when a dial has come up, and tells the reducer of the end before the try's outcome, so that the module makes no other. A try that is not due no longer touches an idle connection: before, its idle time began anew, so it could outlive the servers' limit. A call of the gRPC front's caller lives in its caller's context.

The bound of 0.3 s in TestNothingLeavesForABurstOfClientsThatLeft is 0.1 s now.

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -310,6 +310,65 @@
 	}
 }
 
+// A process that stands still, as one without its share of a core does, while clients leave: by their ends alone, behind a whole
+// command that it has not read, and while a connection to a server comes up. Once it goes on, what it does first is up to the
+// scheduler, and in no order may anything of theirs leave.
+func TestNothingLeavesForClientsThatLeftAStoppedProcess(t *testing.T) {
+	t.Parallel()
+	const many = 40
+	for name, dialling := range map[string]bool{"unread": false, "in a dial": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			set := settings()
+			set["caps"].(object)["connectTimeout"] = 8.0
+			s := newServer(t, "s-1", "hall-a", value("v"))
+			w := world{settings: set, servers: []*server{s}, sockets: 600}
+			d := newDoor(t)
+			if dialling {
+				w.servers = []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}
+			}
+			l := start(t, w)
+			var clients []*client
+			for range many {
+				clients = append(clients, l.dial())
+				require.Equal(t, "+PONG", clients[len(clients)-1].do("PING"))
+			}
+			if dialling {
+				d.shut()
+				clients[0].write(command(ask("id0")...))
+				d.knocked()
+			}
+			require.NoError(t, l.cmd.Process.Signal(syscall.SIGSTOP))
+			require.Eventually(t, func() bool {
+				state, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", l.cmd.Process.Pid))
+				return err == nil && strings.Contains(string(state), ") T ")
+			}, patience, time.Millisecond)
+			for n, c := range clients {
+				if !dialling {
+					c.write(command(ask(fmt.Sprintf("id%d", n))...))
+				}
+				require.NoError(t, c.conn.Close())
+			}
+			var late net.Conn
+			if dialling {
+				_ = d.accept() // the one that filled the queue
+				late = d.accept()
+			}
+			time.Sleep(goneAfter)
+			require.NoError(t, l.cmd.Process.Signal(syscall.SIGCONT))
+			if dialling {
+				require.NoError(t, late.SetReadDeadline(time.Now().Add(time.Second)))
+				assert.Nil(t, readCommand(late), "a request that nobody waits for")
+				return
+			}
+			assert.Equal(t, "v", l.dial().do(ask("last")...))
+			for _, args := range s.seen() {
+				assert.Equal(t, "last", args[2], "a request that nobody waits for")
+			}
+		})
+	}
+}
+
 // Hundreds of clients that leave at once while their requests are held or queued: in order, with a reset, with half of the
 // next command, or with more commands than one. What is sent on afterwards is none of theirs.
 func TestNothingLeavesForABurstOfClientsThatLeft(t *testing.T) {
@@ -345,7 +404,7 @@
 	require.Eventually(t, func() bool { return l.descriptors() < base+100 }, patience, time.Millisecond, "their ends are seen")
 	last := l.dial()
 	require.Equal(t, "+PONG", last.do("PING"))
-	time.Sleep(300 * time.Millisecond) // what crossed their ends has come by now
+	time.Sleep(goneAfter) // what crossed their ends has come by now
 	sent := len(s.seen())
 	require.Equal(t, "v", last.do(ask("last")...))
 	seen := s.seen()
--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -29,6 +29,9 @@
 
 const patience = 20 * time.Second // a test that waits so long has failed; no verdict depends on less
 
+// goneAfter is when a client that has closed its connection has gone: no attempt for it begins later.
+const goneAfter = 100 * time.Millisecond
+
 var binary string
 
 func TestMain(m *testing.M) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -653,6 +653,9 @@
 	return resp.AppendCommand(b, args...)
 }
 
+// Gone implements upstream.Command.
+func (r *request) Gone() bool { return r.client.conn.Left() }
+
 func (r *request) finish(answer []byte) {
 	r.client.mu.Lock()
 	_, waits := r.client.waiting[r.id]
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -138,16 +138,21 @@
 func (c *Caller) Try(t core.Try) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	origin := t.Origin.(*check)
+	if origin.call.Err() != nil { // Guards against a call for a caller that has gone while the reducer has not heard of it yet.
+		c.post(core.ClientGone{ID: t.ID})
+		c.post(core.Outcome{Key: t.Key, Status: logic.Cancelled})
+		return
+	}
 	e, ok := c.endpoints[t.Server]
 	if !ok || !c.connect(e) {
 		c.post(core.Outcome{Key: t.Key, Status: logic.ConnectFailed})
 		return
 	}
 	p := &pending{}
-	ctx, cancel := context.WithTimeout(context.WithValue(context.Background(), pendingKey{}, p), t.Wait)
+	ctx, cancel := context.WithTimeout(context.WithValue(origin.call, pendingKey{}, p), t.Wait) // it ends with the caller's
 	p.cancel = cancel
 	c.tries[t.Key] = p
-	origin := t.Origin.(*check)
 	origin.tried.Store(true)
 	e.out++
 	client := e.client
@@ -168,6 +173,10 @@
 		code != rlsv3.RateLimitResponse_OVER_LIMIT {
 		o.Status = logic.Error // no verdict: this call alone has failed
 	}
+	if p.reason.Load() == int32(logic.OK) && status.Code(err) == codes.Canceled && origin.call.Err() != nil {
+		c.post(core.ClientGone{ID: key.ID}) // first: the module must not try it again
+		o.Status = logic.Cancelled
+	}
 	c.post(o)
 }
 
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -110,7 +110,8 @@
 // check is the request context of one descriptor.
 type check struct {
 	logic.Request
-	place      int // of its descriptor in the call
+	call       context.Context // ends when its caller has gone
+	place      int             // of its descriptor in the call
 	domain     string
 	descriptor *entriesv3.RateLimitDescriptor
 	deadline   time.Time
@@ -155,7 +156,7 @@
 // one of them is, and those within their quotas have taken their units all the same.
 func (f *Front) ShouldRateLimit(ctx context.Context, req *rlsv3.RateLimitRequest) (*rlsv3.RateLimitResponse, error) {
 	verdicts := make(chan verdict, len(req.GetDescriptors()))
-	checks, err := f.checks(req, verdicts)
+	checks, err := f.checks(ctx, req, verdicts)
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -256,7 +257,7 @@
 }
 
 // checks reads a call's descriptors.
-func (f *Front) checks(req *rlsv3.RateLimitRequest, verdicts chan<- verdict) ([]*check, error) {
+func (f *Front) checks(ctx context.Context, req *rlsv3.RateLimitRequest, verdicts chan<- verdict) ([]*check, error) {
 	n := len(req.GetDescriptors())
 	if n == 0 || n > mostDescriptors {
 		return nil, fmt.Errorf("a call takes 1 to %d descriptors", mostDescriptors)
@@ -266,7 +267,7 @@
 	}
 	var all []*check
 	for k, d := range req.GetDescriptors() {
-		c := &check{place: k, domain: req.GetDomain(), descriptor: d, verdicts: verdicts}
+		c := &check{call: ctx, place: k, domain: req.GetDomain(), descriptor: d, verdicts: verdicts}
 		c.Units = float64(max(req.GetHitsAddend(), 1)) // absent means one
 		if err := f.read(c); err != nil {
 			return nil, fmt.Errorf("descriptor %d: %w", k, err)
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"bramblefall/internal/lastwords"
 )
@@ -171,6 +172,19 @@
 	return err == syscall.EAGAIN && c.raw.Reader().Len() == 0
 }
 
+// Left tells whether the peer has ended the connection or its sending. It asks the kernel, since netpoll may not have come to
+// it, and sees an end behind bytes that nobody has read yet, too.
+func (c *Conn) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || !c.raw.IsActive() {
+		return true
+	}
+	polled := []unix.PollFd{{Fd: int32(c.raw.(netpoll.Conn).Fd()), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(polled, 0)
+	return err == nil && n > 0
+}
+
 // Refuse ends a connection that OnPrepare has been handed and that is not registered with the poller yet. Closing it
 // there or from a goroutine would race with that: the descriptor could be another connection's by then. The poller
 // sees the end that this makes and closes.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -28,9 +28,10 @@
 	stuckAfter  = 250 * time.Millisecond // without a byte in the middle of an answer: the rest will not come
 )
 
-// Command is what the origin of a try must offer: its wire form.
+// Command is what the origin of a try must offer: its wire form, and whether its client has gone.
 type Command interface {
 	AppendCommand(b []byte, wait time.Duration) []byte
+	Gone() bool
 }
 
 // Pool holds the connections. One carries one try at a time: answers come in order, so a slow try would hold
@@ -67,6 +68,7 @@
 // flight is a try that is out.
 type flight struct {
 	try    core.Key
+	origin Command
 	target *target
 	bytes  []byte
 	until  time.Duration // no byte may leave from then on
@@ -164,7 +166,8 @@
 func (p *Pool) Try(t core.Try) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	f := &flight{try: t.Key, bytes: t.Origin.(Command).AppendCommand(nil, t.Wait), until: t.Until, target: p.targets[t.Server]}
+	origin := t.Origin.(Command)
+	f := &flight{try: t.Key, origin: origin, bytes: origin.AppendCommand(nil, t.Wait), until: t.Until, target: p.targets[t.Server]}
 	p.tries[t.Key] = f
 	p.start(f)
 }
@@ -222,6 +225,9 @@
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
 		return
 	}
+	if !p.due(f) {
+		return
+	}
 	for n := len(f.target.idle) - 1; n >= 0; n-- {
 		c := f.target.idle[n]
 		rested := time.Since(c.since)
@@ -277,31 +283,39 @@
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
 		return
 	}
-	if f.done { // given up meanwhile: the connection serves the next
+	if f.done || !p.due(f) { // given up, or come up too late: the connection serves the next
 		p.rest(c)
 		return
 	}
 	p.write(c, f)
 }
 
-// write sends a flight's bytes, unless its time is over: the connection may have come up late. Guards against a repeat that
-// no server drops any more, and against a request that nobody waits for, while the reducer has not said so yet. An idle
-// connection's send buffer is empty, since the server has answered all that was in it, so a small flush never waits; a
-// larger one has a goroutine of its own.
-func (p *Pool) write(c *connection, f *flight) {
-	left := f.until - p.now()
-	if left <= 0 {
+// due tells whether a flight's bytes may leave now; it ends one of which they may not. Guards against a repeat that no server
+// drops any more, and against a request that nobody waits for: the reducer may not have said so yet, and its client's end may
+// lie unread or in the inbox behind much else.
+func (p *Pool) due(f *flight) bool {
+	if p.now() >= f.until {
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
-		p.rest(c)
-		return
+		return false
 	}
+	if f.origin.Gone() {
+		p.post(core.ClientGone{ID: f.try.ID}) // first: the module must not try it again
+		p.finish(core.Outcome{Status: logic.Cancelled}, f)
+		return false
+	}
+	return true
+}
+
+// write sends a flight's bytes, which are due. An idle connection's send buffer is empty, since the server has answered all
+// that was in it, so a small flush never waits; a larger one has a goroutine of its own.
+func (p *Pool) write(c *connection, f *flight) {
 	c.flight, f.state = f, flushing
 	f.on = c
 	if len(f.bytes) <= smallFlush {
 		p.flushed(c, f, c.conn.Write(f.bytes))
 		return
 	}
-	c.conn.WriteLimit(min(writeLimit, left))
+	c.conn.WriteLimit(min(writeLimit, max(f.until-p.now(), time.Millisecond)))
 	lastwords.Go(func() {
 		err := c.conn.Write(f.bytes)
 		p.mu.Lock()
