Idle clients that come at once cannot keep a limiter shut for others

Seen: 300 clients that come at once to a new process with 128 descriptors, say PING and rest; then 0 of 1,000 further connections were let in within 5 s (EOF or reset), for up to 20 s. The process used 0.65 s of processor time meanwhile, and held 54 descriptors.

Excluded: a starved processor (above), descriptors (54 of 128), discovery (the same with each form of its absence; the limiter was serving after 1.0 to 1.1 s in all).

Lines at fault: Front.evict in internal/platform. The connection idle longest had its command unread in the kernel, so closeIdle rightly left it; but then nobody was closed and the new one stayed, until the front held 8 beyond its bound. There the listener shuts all that comes before evict is asked, and the idle ones stay for longIdle.

Change: evict goes on to the next idle connection where one cannot be closed, and turns the new one away where none can. So whatever enters beyond the bound sends one away.

Test: TestIdleClientsFillTheDescriptorsWhileDiscoveryIsAway, eight forms, the limit of descriptors enforced by the kernel on the child alone; 3 of 8 failed without the mend (shut unread for 20 s), all pass with it. Ready 1.03 to 1.10 s after the start; the watch, the counter's connection and a server's came up while the idle clients were there.

--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -126,6 +126,7 @@
 	operator string // the operators' file; "": none
 	memory   int    // the cap in MB; 0: 192
 	sockets  int    // 0: 128
+	limited  bool   // the kernel holds the process to its sockets, too
 	cores    float64
 }
 
@@ -166,6 +167,9 @@
 		args = append(args, "-operator", w.operator)
 	}
 	l := &limiter{t: t, path: path, cmd: exec.Command(binary, args...), ended: make(chan struct{})}
+	if w.limited {
+		l.cmd = exec.Command("sh", append([]string{"-c", `ulimit -n "$0" && exec "$@"`, fmt.Sprint(cmp.Or(w.sockets, 128)), binary}, args...)...)
+	}
 	if w.registry != nil { // as on the platform, where the environment keeps the first address
 		l.cmd.Env = append(os.Environ(), "RELAY_DISCOVERY="+w.registry.addr)
 	}
--- /dev/null
+++ b/cmd/bramblefall/idle_test.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// readyWithin is how long a limiter that starts may take until it answers a PING.
+const readyWithin = 10 * time.Second
+
+// idle fills a limiter's descriptors: so many clients that come, say the word, if any, and rest, and come again as soon as they
+// are closed, until the test ends.
+func (l *limiter) idle(clients int, word string) {
+	over := make(chan struct{})
+	l.t.Cleanup(func() { close(over) })
+	for range clients {
+		go func() {
+			for {
+				if conn, err := net.Dial("tcp", l.addr); err == nil {
+					_, _ = io.WriteString(conn, word)
+					left := make(chan struct{})
+					go func() { _, _ = io.Copy(io.Discard, conn); close(left) }()
+					select {
+					case <-left:
+					case <-over:
+					}
+					_ = conn.Close()
+				}
+				select {
+				case <-over:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		}()
+	}
+}
+
+// asks makes one command on a connection of its own, and again where that is shut unread. It gives the answer.
+func (l *limiter) asks(words func(n int) []string) (answer string) {
+	l.t.Helper()
+	once := func(n int) bool {
+		conn, err := net.Dial("tcp", l.addr)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		_, _ = io.WriteString(conn, command(words(n)...))
+		in := bufio.NewReader(conn)
+		line, err := in.ReadString('\n')
+		if strings.HasPrefix(line, "$") && err == nil {
+			line, err = in.ReadString('\n')
+		}
+		answer = strings.TrimSuffix(line, "\r\n")
+		return err == nil && !strings.HasPrefix(answer, "-BUSY")
+	}
+	n, began := 1, time.Now()
+	for ; !once(n); n++ {
+		require.Less(l.t, time.Since(began), patience, "shut unread each time")
+		time.Sleep(5 * time.Millisecond)
+	}
+	if n > 1 {
+		l.t.Logf("%d times", n)
+	}
+	return answer
+}
+
+// Idle clients take all descriptors that there are for them in a new process, whose limit the kernel enforces, while discovery is
+// down, silent, slow or stops in the middle of a line, and the counter is away: clients are let in all the same, requests reach
+// the server by the list that was known, and what comes back is found: the watch, the counter and the servers of the new list.
+func TestIdleClientsFillTheDescriptorsWhileDiscoveryIsAway(t *testing.T) {
+	t.Parallel()
+	for name, away := range map[string]func(conn net.Conn, back <-chan struct{}){
+		"down":   func(net.Conn, <-chan struct{}) {},
+		"silent": func(conn net.Conn, back <-chan struct{}) { wait(conn, back) },
+		"slow": func(conn net.Conn, back <-chan struct{}) {
+			for _, b := range []byte(chunked + strings.Repeat(" ", 1000)) {
+				if _, err := conn.Write([]byte{b}); err != nil {
+					return
+				}
+				select {
+				case <-back:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		},
+		"half a line": func(conn net.Conn, back <-chan struct{}) {
+			_, _ = io.WriteString(conn, chunked+`20`+"\r\n"+`{"version":7,"full":true,"serv`)
+			wait(conn, back)
+		},
+	} {
+		for word, text := range map[string]string{"speechless": "", "after a word": command("PING")} {
+			t.Run(name+", "+word, func(t *testing.T) { // one after another: each is a crowd
+				back := make(chan struct{})
+				w, left, line := moved(t)
+				w.settings = settings()
+				w.limited = true
+				w.registry = agent(t, func(_ int, conn net.Conn) {
+					select {
+					case <-back:
+						_, _ = conn.Write([]byte(chunked + chunk(line)))
+						until(conn)
+					default:
+						away(conn, back)
+					}
+				})
+				var calls atomic.Int64
+				w.counter = &quotaCounter{addr: acceptOn(t, func(conn net.Conn) {
+					select {
+					case <-back:
+					default:
+						return
+					}
+					for lines := bufio.NewScanner(conn); lines.Scan(); {
+						if lines.Text() == "ping" {
+							calls.Add(1)
+							_, _ = io.WriteString(conn, "pong\r\n")
+						} else {
+							_, _ = io.WriteString(conn, "ok 1\r\n")
+						}
+					}
+				})}
+				began := time.Now()
+				l := start(t, w) // 128 descriptors
+				l.idle(300, text)
+				full := func() bool { return l.descriptors() > 32 }
+				require.Eventually(t, full, patience, time.Millisecond)
+				assert.Equal(t, "+PONG", l.asks(func(int) []string { return []string{"PING"} }))
+				t.Logf("ready %v after the start", time.Since(began))
+				assert.Less(t, time.Since(began), readyWithin)
+				assert.Equal(t, "old", l.asks(func(n int) []string { return ask(fmt.Sprint("a", n)) }))
+				require.NotEmpty(t, left.seen())
+				close(back)
+				for k, since := 0, time.Now(); l.asks(func(n int) []string { return ask(fmt.Sprint("b", k, "-", n)) }) != "new"; k++ {
+					require.Less(t, time.Since(since), patience, "the new list")
+				}
+				require.Eventually(t, func() bool { return calls.Load() > 0 }, patience, 10*time.Millisecond, "the counter")
+				assert.True(t, full(), "the idle clients are still there")
+				assert.LessOrEqual(t, l.descriptors(), 128)
+				assert.NotContains(t, l.log.String(), "too many open files")
+			})
+		}
+	}
+}
+
+// wait until the agent is to speak again, or its peer leaves.
+func wait(conn net.Conn, back <-chan struct{}) {
+	left := make(chan struct{})
+	go func() { until(conn); close(left) }()
+	select {
+	case <-back:
+	case <-left:
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -200,31 +200,35 @@
 
 // evict closes the client connection that has been idle longest, those first that have been silent since they came
 // and for a while: the descriptors are needed for the servers, too. If a command crosses the close, its client sends
-// it again; one that has just come is about to speak.
+// it again; one that has just come is about to speak. One of which something waits to be read is passed over for the next.
 func (f *Front) evict(newest *clientConnection) {
-	oldest := newest // if all are busy: it has been promised nothing yet
-	var best time.Time
+	var idle []idleness
 	for _, c := range f.all() {
 		i := c.idle()
 		if !i.spoke && time.Since(i.since) > aboutToSpeak {
 			i.since = i.since.Add(-longIdle)
 		}
-		if i.is && c != newest && (oldest == newest || i.since.Before(best)) {
-			oldest, best = c, i.since
+		if i.is && c != newest {
+			idle = append(idle, i)
 		}
 	}
-	if oldest == newest {
-		newest.mu.Lock()
-		newest.ending, newest.deafAt = true, time.Now() // a command that came with it is not read
-		newest.mu.Unlock()
-		newest.conn.Refuse()
-		return
+	slices.SortFunc(idle, func(a, b idleness) int { return a.since.Compare(b.since) })
+	for _, i := range idle {
+		if i.of.closeIdle() {
+			return
+		}
 	}
-	oldest.closeIdle()
+	// All are busy: it has been promised nothing yet. Guards against a front that is over its bound with nobody on the way out:
+	// what comes would be shut unread for as long as the others stay.
+	newest.mu.Lock()
+	newest.ending, newest.deafAt = true, time.Now() // a command that came with it is not read
+	newest.mu.Unlock()
+	newest.conn.Refuse()
 }
 
 // idleness is how little a client connection is used.
 type idleness struct {
+	of        *clientConnection
 	is, spoke bool // nothing is owed on it; it has brought a whole command
 	since     time.Time
 }
@@ -421,12 +425,13 @@
 func (c *clientConnection) idle() idleness {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return idleness{len(c.slots) == 0 && !c.partial, c.spoke, c.usedAt}
+	return idleness{c, len(c.slots) == 0 && !c.partial, c.spoke, c.usedAt}
 }
 
 // closeIdle closes the connection if nothing is owed on it. Guards against a command that comes meanwhile: up to the
-// last moment the kernel is asked for one, and what comes after that is not read, so that its client sends it again.
-func (c *clientConnection) closeIdle() {
+// last moment the kernel is asked for one, and what comes after that is not read, so that its client sends it again. It
+// tells whether the connection is being closed.
+func (c *clientConnection) closeIdle() bool {
 	c.mu.Lock()
 	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending && c.out.Empty() && c.conn.Quiet()
 	c.ending, c.left = c.ending || idle, c.left || idle
@@ -435,6 +440,7 @@
 		c.trace("idle client connection closed")
 		c.conn.Close()
 	}
+	return idle
 }
 
 // leave closes the connection at a planned restart if nothing is owed on it. One that has just come is about to speak.
