Model: a counter without a line, free calls, cut regions; results by tier, hall and call

Seen: the model told the quota's error as one sum and could not tell the counter's crowd from the split: a counter always had a line, and the module's own budget of calls (earned by requests, 8 or 30 saved) bounds calls whatever the counter bears.

Change: counter(unlimited) takes any number of calls at once. Results have tiers, halls, how calls ended (in time by the settings, of use at all, turned away) and when changes of nodes are in force. A limiter's list keeps its index, which was rebuilt at each change.

Excluded: a switch in the module, since nothing but the model needs it.

--- a/internal/model/audit.go
+++ b/internal/model/audit.go
@@ -70,6 +70,9 @@
 	latency *hdrhistogram.Histogram
 	refuse  []int
 	tries   []int
+	tiers   []TierResult
+	halls   []HallResult
+	force   *hdrhistogram.Histogram // from a change of nodes until it is in force at a limiter
 }
 
 // Result is what a run came to.
@@ -100,8 +103,42 @@
 	Events           uint64
 	CPU              time.Duration // of the deciders, where measured
 	Firms            int
+	Tiers            []TierResult
+	Halls            []HallResult // by the limiter's hall
+	Called           CallResult
+	Changes          ChangeResult
 }
 
+// ChangeResult is how changes of nodes reached the limiters that were up.
+type ChangeResult struct {
+	Told      int     // over all limiters
+	P99, Last float64 // seconds from a change until it is in force
+}
+
+// TierResult is what the firms of a tier came to.
+type TierResult struct {
+	Tries, Refused, RoomRefused int
+	Units, Beyond               float64 // sent on
+}
+
+// HallResult is what the limiters of a hall sent on.
+type HallResult struct{ Units, Beyond float64 }
+
+// CallResult is how the counter's calls ended that were made after the warm-up.
+type CallResult struct {
+	Made, Answered int // with a total, while it was of use
+	Slow           int // of these, later than the settings' limit
+	Turned         int // away
+}
+
+// Unanswered is the share of the calls that brought no total within the settings' limit: late, lost or turned away.
+func (c CallResult) Unanswered() float64 {
+	return float64(c.Made-c.Answered+c.Slow) / float64(max(c.Made, 1))
+}
+
+// Lost is the share of the calls that brought no total while the limiter waited for one, which may be longer than the limit.
+func (c CallResult) Lost() float64 { return float64(c.Made-c.Answered) / float64(max(c.Made, 1)) }
+
 // Worth is the share of the worth asked for inside the quotas that was served.
 func (r Result) Worth() float64 { return r.WorthServed / max(r.WorthAsked, 1e-9) }
 
@@ -130,7 +167,9 @@
 }
 
 func newAudit(w *World) *audit {
-	return &audit{w: w, latency: hdrhistogram.New(1, 60_000_000, 3), refuse: make([]int, len(w.s.Tiers)), tries: make([]int, len(w.s.Tiers))}
+	return &audit{w: w, latency: hdrhistogram.New(1, 60_000_000, 3), refuse: make([]int, len(w.s.Tiers)), tries: make([]int, len(w.s.Tiers)),
+		tiers: make([]TierResult, len(w.s.Tiers)), halls: make([]HallResult, w.s.Halls),
+		force: hdrhistogram.New(1, 600_000_000, 3)}
 }
 
 // counts tells whether a request's first try came after the warm-up.
@@ -166,6 +205,39 @@
 	}
 }
 
+// inForce sees a change of nodes reach a limiter: it decides by it from this event on.
+func (a *audit) inForce(l *limiter, since time.Duration, lines int) {
+	if l.up {
+		a.r.Changes.Told += lines
+		_ = a.force.RecordValues((a.w.sim.now - since).Microseconds(), int64(lines))
+	}
+}
+
+// called and heard see a counter call and how it ended. An answer that comes after the limiter has given it up is none.
+func (a *audit) called() {
+	if a.callCounts(a.w.sim.now) {
+		a.r.Called.Made++
+	}
+}
+
+// callCounts leaves out the calls of the warm-up, and those after the last request came.
+func (a *audit) callCounts(made time.Duration) bool {
+	return made >= begin+seconds(a.w.s.Warm) && made < begin+seconds(a.w.s.Seconds)
+}
+
+func (a *audit) heard(made, until time.Duration, s logic.Status) {
+	switch now := a.w.sim.now; {
+	case !a.callCounts(made):
+	case s == logic.Full:
+		a.r.Called.Turned++
+	case s == logic.OK && now <= until:
+		a.r.Called.Answered++
+		if now > made+milliseconds(a.w.s.Counter.TimeoutMS) {
+			a.r.Called.Slow++
+		}
+	}
+}
+
 // tried sees an attempt leave: nothing new may go to a node that the limiter was told drains or is gone.
 func (a *audit) tried(l *limiter, n *node, r *request) {
 	r.tries++
@@ -186,9 +258,10 @@
 		in, over := r.f.truth.send(now, r.units)
 		r.in = in
 		if a.counts(r) {
-			a.r.SentUnits += r.units
+			t, h := &a.tiers[r.f.tier], &a.halls[r.l.hall]
+			a.r.SentUnits, t.Units, h.Units = a.r.SentUnits+r.units, t.Units+r.units, h.Units+r.units
 			if !in {
-				a.r.BeyondUnits += r.units
+				a.r.BeyondUnits, t.Beyond, h.Beyond = a.r.BeyondUnits+r.units, t.Beyond+r.units, h.Beyond+r.units
 				a.r.WorthServed -= a.w.s.Tiers[r.f.tier].OverCost * a.worth(r)
 			}
 		}
@@ -295,6 +368,7 @@
 	a.refuse[r.f.tier]++
 	if r.f.truth.room(a.w.sim.now) >= 0.5 {
 		a.r.RoomRefused++
+		a.tiers[r.f.tier].RoomRefused++
 	}
 }
 
@@ -317,12 +391,15 @@
 	r.Median = float64(a.latency.ValueAtQuantile(50)) / 1e6
 	r.P99 = float64(a.latency.ValueAtQuantile(99)) / 1e6
 	for k := range a.refuse {
+		a.tiers[k].Tries, a.tiers[k].Refused = a.tries[k], a.refuse[k]
 		r.RefusedByTier = append(r.RefusedByTier, float64(a.refuse[k])/float64(max(a.tries[k], 1)))
 	}
 	r.Events, r.Firms = a.w.sim.Events, a.w.s.Firms.Count+int(a.w.scanned)
 	for _, l := range a.w.limiters {
 		r.CPU += l.CPU
 	}
+	r.Changes.P99, r.Changes.Last = float64(a.force.ValueAtQuantile(99))/1e6, float64(a.force.Max())/1e6
+	r.Tiers, r.Halls = slices.Clone(a.tiers), slices.Clone(a.halls)
 	slices.Sort(r.Violations)
 	return r
 }
--- a/internal/model/counter.go
+++ b/internal/model/counter.go
@@ -40,27 +40,34 @@
 // call makes a call for a limiter; answer is told at most once.
 func (c *counter) call(limiter int, name uint64, amount float64, lives time.Duration, answer func(logic.Status, float64)) {
 	c.Calls++
-	hall := limiter % c.w.s.Halls
-	there := c.w.delay(hall, 0)
+	hall, at := limiter%c.w.s.Halls, 0
+	if c.w.apart {
+		at = hall // the region's own copy
+	}
+	there := c.w.delay(hall, at)
 	c.w.sim.After(there, func() {
 		if c.down {
 			return // cut off: nothing is said
 		}
 		p := &c.parts[name%uint64(len(c.parts))]
-		if p.waiting >= c.w.s.Counter.Waiting {
-			c.w.sim.After(c.w.delay(0, hall), func() { answer(logic.Full, 0) })
+		free := c.w.s.Counter.Unlimited
+		if !free && p.waiting >= c.w.s.Counter.Waiting {
+			c.w.sim.After(c.w.delay(at, hall), func() { answer(logic.Full, 0) })
 			return
 		}
 		p.waiting++
 		took := max(seconds(1/c.w.s.Counter.PerSecond), 0)
-		at := max(p.free, c.w.sim.now) + seconds(took.Seconds()*c.slow)
-		p.free = at
+		turn := max(p.free, c.w.sim.now) + seconds(took.Seconds()*c.slow)
+		if free {
+			turn = c.w.sim.now
+		}
+		p.free = turn
 		own := milliseconds(c.w.s.Counter.MS.draw(c.rng) * c.slow)
-		c.w.sim.At(at+own, func() {
+		c.w.sim.At(turn+own, func() {
 			p.waiting--
 			total := c.add(limiter, name, amount, lives)
 			if !c.silent && !c.down {
-				c.w.sim.After(c.w.delay(0, hall), func() { answer(logic.OK, total) })
+				c.w.sim.After(c.w.delay(at, hall), func() { answer(logic.OK, total) })
 			}
 		})
 	})
@@ -68,7 +75,7 @@
 
 func (c *counter) add(limiter int, name uint64, amount float64, lives time.Duration) float64 {
 	names := c.copies[0]
-	if c.split && limiter%2 == 1 {
+	if c.split && (c.w.apart && limiter%c.w.s.Halls%2 == 1 || !c.w.apart && limiter%2 == 1) {
 		names = c.copies[1]
 	}
 	n := names[name]
--- a/internal/model/limiter.go
+++ b/internal/model/limiter.go
@@ -41,6 +41,7 @@
 	effects []core.Effect
 	tries   map[core.Key]*flight
 	known   []logic.Server                   // its list, kept over a restart
+	places  map[logic.ServerID]int           // in that list
 	left    map[logic.ServerID]time.Duration // when it was told that a node drains or is gone
 	hears   time.Duration                    // when the last news come
 	open    map[*request]struct{}
@@ -182,8 +183,10 @@
 	case core.Fail:
 		e.Origin.Failed()
 	case core.Count:
-		life := l.life
+		life, made := l.life, l.w.sim.now
+		l.w.audit.called()
 		l.w.counter.call(l.rank, e.Name, e.Amount, e.Lives, func(s logic.Status, total float64) {
+			l.w.audit.heard(made, e.Until, s)
 			if l.life == life {
 				l.post(core.CountResult{Call: e.Call, Status: s, Total: total})
 			}
@@ -233,7 +236,7 @@
 		switch {
 		case f.ended:
 			n.rest(l.rank, life)
-		case l.w.cutOff(n):
+		case l.w.cutOff(n) || l.w.between(l.hall, n.hall):
 			// silence: it never comes up
 			l.w.sim.After(250*time.Millisecond, func() { f.end(logic.ConnectFailed) })
 		case !n.up || n.life != life:
@@ -260,7 +263,7 @@
 		f.load = n.report()
 	}
 	f.l.w.sim.After(f.l.w.delay(f.n.hall, f.l.hall), func() {
-		if f.ended || f.l.w.cutOff(n) || f.l.w.muted[n.hall] > 0 && n.hall != f.l.hall {
+		if f.ended || f.l.w.cutOff(n) || f.l.w.muted[n.hall] > 0 && n.hall != f.l.hall || f.l.w.between(n.hall, f.l.hall) {
 			return
 		}
 		n.rest(f.l.rank, life)
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -81,7 +81,8 @@
 	PerSecond float64 `json:"per_second"` // of each part
 	Parts     int     `json:"parts"`
 	MS        Range   `json:"ms"`
-	Waiting   int     `json:"waiting"` // calls at once; more are turned away
+	Waiting   int     `json:"waiting"`   // calls at once; more are turned away
+	Unlimited bool    `json:"unlimited"` // it takes any number of calls at once: none waits, none is turned away
 	TimeoutMS float64 `json:"timeout_ms"`
 }
 
@@ -153,11 +154,15 @@
 	FaultPause    = "pause"    // a part of the nodes stands still
 	FaultDeaf     = "deaf"     // discovery tells nothing
 	FaultCut      = "cut"      // what a hall's nodes say to limiters elsewhere does not arrive; the other way is open
+	FaultRegions  = "regions"  // halls of even and of odd number are cut from each other, each with a copy of the counter
 )
 
-var faultKinds = []string{FaultFlush, FaultSlow, FaultSilent, FaultSplit, FaultHot, FaultScan, FaultHall, FaultLimiters, FaultStall,
+// drawnKinds are those that a search draws: a seed's faults stay what they were when a kind is added elsewhere.
+var drawnKinds = []string{FaultFlush, FaultSlow, FaultSilent, FaultSplit, FaultHot, FaultScan, FaultHall, FaultLimiters, FaultStall,
 	FaultDrain, FaultCrash, FaultPause, FaultDeaf, FaultCut}
 
+var faultKinds = append(slices.Clone(drawnKinds), FaultRegions)
+
 // Bounds are what must hold for a run to count as good; 0: not looked at.
 type Bounds struct {
 	Worth      float64 `json:"worth"`       // least share of the worth asked for inside quotas that is served
@@ -282,7 +287,7 @@
 func DrawFaults(s Scenario, seed uint64) (list []Fault) {
 	rng := source(seed, "search", 0)
 	for range 1 + rng.IntN(4) {
-		list = append(list, Fault{Kind: faultKinds[rng.IntN(len(faultKinds))], At: s.Seconds * (0.1 + 0.6*rng.Float64()),
+		list = append(list, Fault{Kind: drawnKinds[rng.IntN(len(drawnKinds))], At: s.Seconds * (0.1 + 0.6*rng.Float64()),
 			For: 1 + 14*rng.Float64(), Part: 0.1 + 0.88*rng.Float64(), Size: 0.2 + 3*rng.Float64(), Hall: rng.IntN(s.Halls)})
 	}
 	return list
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -27,6 +27,7 @@
 	audit    *audit
 	hallDown []bool
 	deaf     bool
+	apart    bool  // regions are cut from each other
 	muted    []int // cuts of what a hall's nodes say to others
 	deferred []func()
 	flood    float64 // one-off senders a second beside the scenario's
@@ -97,6 +98,9 @@
 // cutOff tells whether nothing is said by a node: its hall is lost.
 func (w *World) cutOff(n *node) bool { return w.hallDown[n.hall] }
 
+// between tells whether two halls lie in regions that are cut from each other.
+func (w *World) between(a, b int) bool { return w.apart && a%2 != b%2 }
+
 // flying is what is out at a node, in the order of its tries.
 func (w *World) flying(n *node) (all []*flight) {
 	for _, l := range w.limiters {
@@ -136,6 +140,7 @@
 
 // changed tells every limiter of some nodes, each as late as it hears of it.
 func (w *World) changed(nodes ...*node) {
+	since := w.sim.now
 	tell := func() {
 		for _, l := range w.limiters {
 			var lines []logic.Server
@@ -145,7 +150,10 @@
 			late := seconds(w.s.Discovery.Late.draw(w.rng))
 			at := max(w.sim.now+late, l.hears+1)
 			l.hears = at // news come in order
-			w.sim.At(at, func() { l.learn(logic.ServerList{Servers: lines}) })
+			w.sim.At(at, func() {
+				w.audit.inForce(l, since, len(lines))
+				l.learn(logic.ServerList{Servers: lines})
+			})
 		}
 	}
 	if w.deaf {
@@ -157,17 +165,20 @@
 
 // learn is what discovery tells a limiter, also while it is down: its agent keeps it.
 func (l *limiter) learn(list logic.ServerList) {
-	byID := map[logic.ServerID]int{}
 	if list.Whole {
-		l.known = nil
+		l.known, l.places = nil, nil
 	}
-	for k, s := range l.known {
-		byID[s.ID] = k
+	if l.places == nil {
+		l.places = map[logic.ServerID]int{}
+		for k, s := range l.known {
+			l.places[s.ID] = k
+		}
 	}
 	for _, s := range list.Servers {
-		if k, ok := byID[s.ID]; ok {
+		if k, ok := l.places[s.ID]; ok {
 			l.known[k] = s
 		} else {
+			l.places[s.ID] = len(l.known)
 			l.known = append(l.known, s)
 		}
 		if s.State != logic.Ready {
@@ -246,6 +257,13 @@
 	case FaultSilent:
 		w.counter.silent = true
 		end(func() { w.counter.silent = false })
+	case FaultRegions:
+		w.apart = true
+		w.counter.cut()
+		end(func() {
+			w.apart = false
+			w.counter.heal()
+		})
 	case FaultSplit:
 		w.counter.cut()
 		end(w.counter.heal)
