--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -30,11 +30,17 @@
 // errBars says that a run's stated bounds do not hold.
 var errBars = errors.New("bars do not hold")
 
+// more are the sub-commands of other files.
+var more []func() *cobra.Command
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "bramblelab", Short: "Experiments on the limiter", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand())
+	for _, c := range more {
+		root.AddCommand(c())
+	}
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblelab:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/scale/modelled.go
@@ -0,0 +1,345 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bramblefall/internal/core"
+	"bramblefall/internal/discovery"
+	"bramblefall/internal/lab"
+	"bramblefall/internal/model"
+	"bramblefall/internal/plans"
+	"bramblefall/logic"
+)
+
+// Modelled plays the moments that real sockets cannot: regions cut from each other for an hour, and a day of changes.
+func Modelled(ctx context.Context, seed uint64, quick bool, progress func(string)) ([]Moment, error) {
+	if progress == nil {
+		progress = func(string) {}
+	}
+	var all []Moment
+	for _, play := range []func(context.Context, uint64, bool, func(string)) (Moment, error){regions, day} {
+		m, err := play(ctx, seed, quick, progress)
+		if err != nil {
+			return all, err
+		}
+		all = append(all, m)
+	}
+	return all, nil
+}
+
+// ---- regions
+
+// window is what came between two instants of a run.
+type window struct {
+	seconds  float64
+	from, to model.Result
+}
+
+func (w window) sent() float64   { return w.to.SentUnits - w.from.SentUnits }
+func (w window) beyond() float64 { return (w.to.BeyondUnits - w.from.BeyondUnits) / max(w.sent(), 1) }
+
+// put notes a window's figures under its name.
+func (w window) put(values map[string]float64, name string) {
+	for k := range w.to.Halls {
+		values[fmt.Sprintf("%s, region %d, units/s", name, k)] = (w.to.Halls[k].Units - w.from.Halls[k].Units) / w.seconds
+	}
+	values[name+", units/s"] = w.sent() / w.seconds
+	values[name+", beyond"] = w.beyond()
+	values[name+", refused with room"] = float64(w.to.RoomRefused-w.from.RoomRefused) / float64(max(w.to.Tries-w.from.Tries, 1))
+	values[name+", served"] = float64(w.to.Served-w.from.Served) / float64(max(w.to.Requests-w.from.Requests, 1))
+	values[name+", calls/s"] = float64(w.to.Calls-w.from.Calls) / w.seconds
+}
+
+const healStep, healLooked = 5.0, 60.0 // seconds: a window after the healing, and how long they are looked at
+
+// regionPlay is one seed's: by name what it came to.
+func regionPlay(ctx context.Context, s model.Scenario, seed uint64, cutAt, cutFor float64) map[string]float64 {
+	s.Faults = []model.Fault{{Kind: model.FaultRegions, At: cutAt, For: cutFor}}
+	w := model.New(s, seed, model.Own(), false)
+	at, values := s.Warm, map[string]float64{}
+	last := w.Play(at)
+	to := func(end float64) window {
+		v := window{end - at, last, last}
+		for at < end && ctx.Err() == nil { // in steps, so that it can be stopped
+			at = min(at+60, end)
+			last = w.Play(at)
+		}
+		v.to = last
+		return v
+	}
+	begun, usual := last, 0.0
+	for at < cutAt && ctx.Err() == nil {
+		usual = max(usual, to(min(at+healStep, cutAt)).beyond())
+	}
+	window{cutAt - s.Warm, begun, last}.put(values, "before")
+	values["before, most beyond in 5 s"] = usual
+	to(cutAt+10).put(values, "cut, first 10 s")
+	to(cutAt+cutFor).put(values, "cut")
+	healed, back := last, 0.0
+	for t := healStep; t <= healLooked; t += healStep {
+		v := to(cutAt + cutFor + t)
+		if v.beyond() > usual {
+			back = t
+		}
+		if t == healStep {
+			v.put(values, "healed, first 5 s")
+		}
+	}
+	window{healLooked, healed, last}.put(values, "healed, first 60 s")
+	values["healed, calls in 60 s"] = float64(last.Calls - healed.Calls)
+	values["healed, over usual until s"] = back
+	to(s.Seconds).put(values, "after")
+	values["broken rules"] = float64(last.Broken)
+	return values
+}
+
+func regions(ctx context.Context, seed uint64, quick bool, progress func(string)) (Moment, error) {
+	s := model.Base()
+	s.Limiters, s.Nodes, s.Firms.Count, s.Warm = 10, 24, 60, 10
+	s.Firms.Spread = model.Range{10, 10}
+	cutAt, cutFor, seeds := 300.0, 3600.0, 4
+	if quick {
+		cutAt, cutFor, seeds = 40, 60, 2
+	}
+	s.Seconds = cutAt + cutFor + 300
+	if quick {
+		s.Seconds = cutAt + cutFor + 80
+	}
+	list := make([]map[string]float64, seeds)
+	done := make(chan int, seeds)
+	for k := range seeds {
+		go func() {
+			list[k] = regionPlay(ctx, s, seed+uint64(k), cutAt, cutFor)
+			done <- k
+		}()
+	}
+	for range seeds {
+		k := <-done
+		progress(fmt.Sprintf("regions, seed %d: %.1f%% beyond in the cut, %.1f%% in the 5 s after it", seed+uint64(k), 100*list[k]["cut, beyond"],
+			100*list[k]["healed, first 5 s, beyond"]))
+	}
+	m := Moment{Name: "regions", Limiters: s.Limiters, Servers: s.Nodes, Model: true, Values: map[string]float64{}}
+	for _, name := range slices.Sorted(maps.Keys(list[0])) {
+		var v []float64
+		for _, x := range list {
+			v = append(v, x[name])
+		}
+		mean, deviation := meanAndDeviation(v)
+		m.Values[name] = mean
+		if name == "cut, beyond" || name == "before, beyond" || name == "healed, first 5 s, beyond" {
+			m.Values[name+", deviation"] = deviation
+		}
+		if name == "healed, over usual until s" {
+			m.Last = slices.Max(v)
+		}
+	}
+	m.Messages = m.Values["healed, calls in 60 s"]
+	m.Note = fmt.Sprintf("two regions with half of the limiters and nodes each, cut for %.0f s; held small: %d firms, %d limiters through which each firm comes; "+
+		"clients reach both regions throughout; last_s: until when after the healing some 5 s had a larger share beyond quotas than any 5 s before the cut, the most of %d seeds; "+
+		"messages: counter calls in the 60 s after it", cutFor, s.Firms.Count, s.Limiters, seeds)
+	return m, ctx.Err()
+}
+
+// ---- a day of changes
+
+const dayChanges, daySeconds = 33_000, 86_400
+
+// drawDay draws the instants of a day's changes, in order. Half of them come in releases, most of them in working hours: a
+// release touches some hundred servers, some in a second. The others come one by one.
+func drawDay(seed uint64) (at []float64) {
+	rng := rand.New(rand.NewPCG(seed, 0x646179))
+	working := func() float64 { return 3600 * (8 + 10*rng.Float64()) }
+	for len(at) < dayChanges/2 {
+		size := min(int(math.Exp(math.Log(250)+0.9*rng.NormFloat64())), 3000, dayChanges/2-len(at))
+		pace, t := 2+38*rng.Float64()*rng.Float64(), working()
+		for range max(size, 1) {
+			at, t = append(at, t), min(t+rng.ExpFloat64()/pace, daySeconds-1e-3)
+		}
+	}
+	for len(at) < dayChanges {
+		t := daySeconds * rng.Float64()
+		if rng.Float64() < 0.5 {
+			t = working()
+		}
+		at = append(at, t)
+	}
+	slices.Sort(at)
+	return at
+}
+
+// worst is the most changes within any span of so many seconds, and where it begins.
+func worst(at []float64, span float64) (most int, from float64) {
+	first := 0
+	for k := range at {
+		for at[k]-at[first] >= span {
+			first++
+		}
+		if n := k - first + 1; n > most {
+			most, from = n, at[first]
+		}
+	}
+	return most, from
+}
+
+// changeBytes is the length of a change of one server as discovery tells it.
+func changeBytes() float64 {
+	raw, _ := json.Marshal(discovery.List{Version: 1_033_000, Servers: []discovery.Server{{ID: "node-2-0417-3", Addr: "10.12.34.56:7001",
+		Zone: "hall-b", Kind: "std-3core", Cell: 2, State: "draining", Weight: 1, StartedMS: 1_800_000_000_000}}})
+	return float64(len(raw) + 1)
+}
+
+func day(ctx context.Context, seed uint64, quick bool, progress func(string)) (Moment, error) {
+	limiters, servers, days, span := 30, 3000, 20, 60.0
+	if quick {
+		limiters, servers, days, span = 10, 600, 3, 15
+	}
+	values := map[string]float64{}
+	var seconds, minutes []float64
+	for n := range days {
+		at := drawDay(seed + uint64(n))
+		second, _ := worst(at, 1)
+		minute, _ := worst(at, 60)
+		seconds, minutes = append(seconds, float64(second)), append(minutes, float64(minute))
+	}
+	values["worst second, changes"], values["worst second, deviation"] = meanAndDeviation(seconds)
+	values["worst minute, changes"], values["worst minute, deviation"] = meanAndDeviation(minutes)
+	values["worst second of the days, changes"], values["worst minute of the days, changes"] = slices.Max(seconds), slices.Max(minutes)
+
+	at := drawDay(seed)
+	_, from := worst(at, span)
+	s := model.Base()
+	s.Name, s.Limiters, s.Nodes, s.Firms.Count, s.Warm = "worst minute", limiters, servers, 12*limiters, 10
+	s.Firms.Spread = model.Range{float64(limiters), float64(limiters)}
+	s.Seconds = s.Warm + span + 10
+	calm := s
+	// A server that is replaced is three changes: it drains, is gone, and another comes.
+	n := 0
+	for _, t := range at {
+		if t >= from && t < from+span {
+			if n++; n%3 == 1 {
+				s.Faults = append(s.Faults, model.Fault{Kind: model.FaultDrain, At: s.Warm + t - from, Part: 0.1 / float64(servers)})
+			}
+		}
+	}
+	list := lab.Parallel(ctx, []lab.Job{{Scenario: s, Policy: model.Own(), Seed: seed}, {Scenario: calm, Policy: model.Own(), Seed: seed}}, nil)
+	if len(list) < 2 {
+		return Moment{}, ctx.Err()
+	}
+	r, quiet := list[0].Result, list[1].Result
+	progress(fmt.Sprintf("day: %d changes told in the worst minute, in force after %.2f s at the last", r.Changes.Told, r.Changes.Last))
+	values["played, changes at each limiter"] = float64(r.Changes.Told) / float64(limiters)
+	values["played, served"] = float64(r.Served) / float64(max(r.Requests, 1))
+	values["calm, served"] = float64(quiet.Served) / float64(max(quiet.Requests, 1))
+	values["played, p99 s"], values["calm, p99 s"] = r.P99, quiet.P99
+	values["played, beyond"], values["calm, beyond"] = r.OverQuota(), quiet.OverQuota()
+	values["broken rules"] = float64(r.Broken)
+	values["bytes of a change"] = changeBytes()
+
+	cost := map[string]float64{}
+	sizes, times := []int{60, 600, 3000, 10000}, 20_000
+	if quick {
+		sizes, times = []int{60, 3000}, 2000
+	}
+	for _, size := range sizes {
+		mean, most, all := changeCost(size, times)
+		cost[fmt.Sprintf("a change among %d servers, us", size)] = mean
+		cost[fmt.Sprintf("a change among %d servers, p99 us", size)] = most
+		cost[fmt.Sprintf("a whole list of %d servers, ms", size)] = all
+		progress(fmt.Sprintf("day: a change among %d servers takes %.1f us of a limiter, 99th percentile %.1f us", size, mean, most))
+	}
+	largest := sizes[len(sizes)-1]
+	cost[fmt.Sprintf("worst second among %d servers, s", largest)] =
+		values["worst second of the days, changes"] * cost[fmt.Sprintf("a change among %d servers, us", largest)] / 1e6
+	return Moment{Name: "day", Limiters: limiters, Servers: servers, Model: true, P99: r.Changes.P99, Last: r.Changes.Last,
+		Messages: values["worst minute of the days, changes"], Bytes: values["worst minute of the days, changes"] * changeBytes(),
+		Values: values, Cost: cost,
+		Note: fmt.Sprintf("%d changes a day, half of them in releases of some hundred servers; %d days drawn; the worst %.0f s of the first played with "+
+			"%d limiters, %d firms and %d servers (held small); p99_s and last_s: from a change until it is in force at a limiter, the most of it "+
+			"discovery's own 0.5 to 3 s; messages and bytes: what one limiter takes in the worst minute of these days", dayChanges, days, span,
+			limiters, s.Firms.Count, servers)}, nil
+}
+
+// changeCost is the processor time, in us, that the reducer takes for a change of one server among many: the mean, and the
+// 99th percentile. all is that of a whole list without a change, in ms.
+func changeCost(servers, times int) (mean, p99, all float64) {
+	r, now := costReducer()
+	var list []logic.Server
+	for k := range servers {
+		list = append(list, logic.Server{ID: logic.ServerID(k + 1), Weight: 1, Zone: k % 2, State: logic.Ready})
+	}
+	whole := logic.ServerList{Whole: true, Servers: slices.Clone(list)}
+	var effects []core.Effect
+	var tick core.SetTimer
+	reduce := func(at time.Duration, ev core.Event) time.Duration {
+		began := time.Now()
+		effects = r.Reduce(at, ev, effects[:0])
+		took := time.Since(began)
+		for _, e := range effects {
+			if t, ok := e.(core.SetTimer); ok { // without requests there is one timer, the tick
+				tick = t
+			}
+		}
+		return took
+	}
+	reduce(now, core.UpstreamGroup{ServerList: whole})
+	all = float64(reduce(now, core.UpstreamGroup{ServerList: whole}).Microseconds()) / 1000
+	next := logic.ServerID(servers + 1)
+	took := make([]float64, 0, times)
+	rng := rand.New(rand.NewPCG(1, 0x636f7374))
+	for range times {
+		k := rng.IntN(len(list))
+		line := &list[k]
+		switch line.State { // each is drained, then gone, then there is another in its place
+		case logic.Ready:
+			line.State = logic.Draining
+		case logic.Draining:
+			line.State = logic.Gone
+		case logic.Gone:
+			*line = logic.Server{ID: next, Weight: 1, Zone: k % 2, State: logic.Ready, Started: now}
+			next++
+		}
+		for now += time.Second / 50; tick.At <= now; { // ticks go on, and are not the changes'
+			reduce(tick.At, tick.Timer)
+		}
+		changed := reduce(now, core.UpstreamGroup{ServerList: logic.ServerList{Servers: []logic.Server{*line}}})
+		took = append(took, float64(changed.Nanoseconds())/1000)
+	}
+	mean, _ = meanAndDeviation(took)
+	slices.Sort(took)
+	return mean, took[len(took)*99/100], all
+}
+
+func costReducer() (*core.Reducer, time.Duration) {
+	s := model.Base()
+	set := logic.Settings{Gateways: 300, Zones: 2, Plans: s.Tiers, HasCounter: true, CounterLimit: 30 * time.Millisecond, MostUnits: 1,
+		MaxAttempts: 6, MaxRetryAfter: time.Second, RetryAfter: true, Cancelling: true, StartCapacity: s.Node.ColdShare, Cold: 18 * time.Second,
+		Fall: 3 * time.Second, FallMultiple: 3, DrainGrace: 500 * time.Millisecond,
+		Classes: []logic.Class{{Name: "read", Aim: 1500 * time.Millisecond, Deadline: 4 * time.Second, Worth: 2, Late: 0.2}}}
+	return core.New(set, 1, plans.New(set.Plans, plans.DefaultLimits)), 1_800_000_000 * time.Second
+}
+
+// MomentTable is moments as a table: a row for each figure.
+func MomentTable(list []Moment) *lab.Table {
+	t := &lab.Table{Name: "moments", Head: []string{"moment", "what", "figure"}}
+	for _, m := range list {
+		t.Add(m.Name, "limiters", m.Limiters)
+		t.Add(m.Name, "servers", m.Servers)
+		t.Add(m.Name, "p99, s", m.P99)
+		t.Add(m.Name, "last, s", m.Last)
+		t.Add(m.Name, "messages", m.Messages)
+		t.Add(m.Name, "bytes", m.Bytes)
+		for _, figures := range []map[string]float64{m.Values, m.Cost} {
+			for _, name := range slices.Sorted(maps.Keys(figures)) {
+				t.Add(m.Name, name, figures[name])
+			}
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/scale/quota.go
@@ -0,0 +1,230 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"slices"
+
+	"bramblefall/internal/lab"
+	"bramblefall/internal/model"
+)
+
+// AllPlans is the plan's name in a row that sums over all plans.
+const AllPlans = "all"
+
+// quotaLoad is a load under which the quota's error is measured while limiters grow.
+type quotaLoad struct {
+	name, held string
+	make       func(limiters int) (model.Scenario, error)
+}
+
+// quotaLoads are the loads. Nodes have room for twice what is asked for and more, so that what is refused is refused by
+// quotas.
+func quotaLoads() []quotaLoad {
+	return []quotaLoad{
+		{"total, all", "360 firms with their quotas and about 550 requests a second in all; a firm comes through every limiter",
+			func(n int) (model.Scenario, error) { return quotaBase(n, 360, 120, n), nil }},
+		{"total, even", "the same, but evenly: without a busiest limiter that takes 0.6 of a firm's requests and changes every 6 to 22 s",
+			func(n int) (model.Scenario, error) {
+				s := quotaBase(n, 360, 120, n)
+				s.Firms.Skew = 0
+				return s, nil
+			}},
+		{"total, few", "as the first, but a firm comes through 2 to 4 limiters",
+			func(n int) (model.Scenario, error) { return quotaBase(n, 360, 120, 0), nil }},
+		{"each, 30", "13 firms and about 20 requests a second for each limiter; a firm comes through 30 limiters (of fewer: all)",
+			func(n int) (model.Scenario, error) { return quotaBase(n, 13*n, max(4*n, 12), min(n, 30)), nil }},
+		{"units, all", "requests of 1.5 units on the mean, at most 8; 480 firms with the quotas of booking, about 950 requests a second in all; a firm comes through every limiter",
+			unitsLoad},
+	}
+}
+
+func quotaBase(limiters, firms, nodes, spread int) model.Scenario {
+	s := model.Base()
+	s.Limiters, s.Nodes, s.Firms.Count = limiters, nodes, firms
+	s.Firms.Spread = model.Range{2, min(4, float64(limiters))}
+	if spread > 0 {
+		s.Firms.Spread = model.Range{float64(spread), float64(spread)}
+	}
+	return s
+}
+
+func unitsLoad(limiters int) (model.Scenario, error) {
+	s, err := lab.LoadScenario("booking")
+	if err != nil {
+		return s, err
+	}
+	s.Limiters, s.Nodes, s.Firms.Count = limiters, 100, 480
+	s.Units.Mean = 1.5
+	s.Firms.Spread = model.Range{float64(limiters), float64(limiters)}
+	return s, nil
+}
+
+// quotaPoint is one size, load and counter.
+type quotaPoint struct {
+	load     quotaLoad
+	limiters int
+	speed    float64 // 0: unlimited
+	free     bool
+}
+
+// quotaPoints are the points of a run, the smallest fleets first.
+func quotaPoints(quick bool) (all []quotaPoint) {
+	sizes := []int{3, 10, 30, 100, 300}
+	if quick {
+		sizes = []int{3, 30}
+	}
+	counters := []quotaPoint{{speed: 1}, {speed: 2}, {speed: 8}, {speed: 0}, {speed: 0, free: true}}
+	if quick {
+		counters = []quotaPoint{{speed: 1}, {speed: 0}, {speed: 0, free: true}}
+	}
+	for _, n := range sizes {
+		for _, load := range quotaLoads() {
+			if quick && load.name != "total, all" && load.name != "units, all" {
+				continue
+			}
+			for _, c := range counters {
+				all = append(all, quotaPoint{load, n, c.speed, c.free})
+			}
+		}
+	}
+	return all
+}
+
+// scenario is the point's.
+func (p quotaPoint) scenario(quick bool) (model.Scenario, model.Policy, error) {
+	s, err := p.load.make(p.limiters)
+	s.Name = fmt.Sprintf("%s, %d limiters, %s", p.load.name, p.limiters, speedName(p.speed, p.free))
+	s.Seconds, s.Warm, s.Faults = 30, 8, nil
+	if quick {
+		s.Seconds, s.Warm = 14, 5
+	}
+	if s.Counter.PerSecond *= p.speed; p.speed == 0 {
+		s.Counter.PerSecond, s.Counter.Unlimited = 1e6, true
+	}
+	policy := model.Own()
+	if p.free {
+		policy = model.Unbudgeted()
+	}
+	return s, policy, err
+}
+
+func speedName(speed float64, free bool) string {
+	switch {
+	case free:
+		return "unlimited, calls free"
+	case speed == 0:
+		return "unlimited"
+	}
+	return fmt.Sprintf("%gx", speed)
+}
+
+// Quota measures in the model how far quotas are missed against the number of limiters and the counter's speed: what is
+// sent on beyond them, and what is refused with half of one unused, by plan.
+func Quota(ctx context.Context, seed uint64, quick bool, progress func(string)) ([]QuotaError, error) {
+	seeds := 3
+	if quick {
+		seeds = 1
+	}
+	return quota(ctx, seed, seeds, quick, quotaPoints(quick), progress)
+}
+
+func quota(ctx context.Context, seed uint64, seeds int, quick bool, points []quotaPoint, progress func(string)) (all []QuotaError, err error) {
+	var jobs []lab.Job
+	for _, p := range points {
+		s, policy, err := p.scenario(quick)
+		if err != nil {
+			return nil, err
+		}
+		for n := range seeds {
+			jobs = append(jobs, lab.Job{Scenario: s, Policy: policy, Seed: seed + uint64(n)})
+		}
+	}
+	done := lab.Parallel(ctx, jobs, func(n int, d lab.Done) {
+		if n%seeds == 0 && progress != nil {
+			r := d.Result
+			progress(fmt.Sprintf("quota %d of %d: %s: %.1f%% beyond, %.1f%% refused with room, %.1f s", n/seeds, len(points), r.Scenario,
+				100*r.OverQuota(), 100*float64(r.RoomRefused)/float64(max(r.Tries, 1)), d.Wall.Seconds()))
+		}
+	})
+	for k := 0; k+seeds <= len(done); k += seeds { // whole points alone
+		all = append(all, points[k/seeds].rows(done[k:k+seeds])...)
+	}
+	return all, ctx.Err()
+}
+
+// rows sums up the seeds of a point: a row for all plans, and one for each.
+func (p quotaPoint) rows(done []lab.Done) (all []QuotaError) {
+	s := done[0].Scenario
+	for tier := -1; tier < len(s.Tiers); tier++ {
+		q := QuotaError{Plan: AllPlans, Limiters: p.limiters, Counters: s.Counter.Parts, Speed: p.speed, Seeds: len(done),
+			Set: p.load.name, Held: p.load.held, Free: p.free}
+		if tier >= 0 {
+			q.Plan = s.Tiers[tier].Name
+		}
+		var beyond, room, each, unanswered, lost, rate, calls []float64
+		for _, d := range done {
+			var t model.TierResult
+			for k, x := range d.Result.Tiers {
+				if tier < 0 || k == tier {
+					t.Tries, t.RoomRefused = t.Tries+x.Tries, t.RoomRefused+x.RoomRefused
+					t.Units, t.Beyond = t.Units+x.Units, t.Beyond+x.Beyond
+				}
+			}
+			c, span := d.Result.Called, s.Seconds-s.Warm
+			q.Tries += t.Tries
+			beyond = append(beyond, t.Beyond/max(t.Units, 1))
+			room = append(room, float64(t.RoomRefused)/float64(max(t.Tries, 1)))
+			each = append(each, float64(c.Made)/float64(max(d.Result.Requests, 1)))
+			unanswered, lost = append(unanswered, c.Unanswered()), append(lost, c.Lost())
+			rate, calls = append(rate, float64(d.Result.Requests)/span), append(calls, float64(c.Made)/span)
+		}
+		q.Beyond, q.Spread = meanAndDeviation(beyond)
+		q.RefusedWithRoom, q.RoomSpread = meanAndDeviation(room)
+		q.CallsPerRequest, _ = meanAndDeviation(each)
+		q.Unanswered, _ = meanAndDeviation(unanswered)
+		q.Lost, _ = meanAndDeviation(lost)
+		q.PerSecond, _ = meanAndDeviation(rate)
+		q.Calls, _ = meanAndDeviation(calls)
+		all = append(all, q)
+	}
+	return all
+}
+
+func meanAndDeviation(values []float64) (mean, deviation float64) {
+	for _, v := range values {
+		mean += v / float64(len(values))
+	}
+	for _, v := range values {
+		deviation += (v - mean) * (v - mean)
+	}
+	if len(values) < 2 {
+		return mean, 0
+	}
+	return mean, math.Sqrt(deviation / float64(len(values)-1))
+}
+
+// QuotaTable is the figures as a table: the sums over plans, or those of each plan.
+func QuotaTable(list []QuotaError, byPlan bool) *lab.Table {
+	t := &lab.Table{Name: "quota", Head: []string{"load", "limiters", "counter", "requests/s", "beyond %", "±", "refused with room %", "±",
+		"calls a request", "calls/s", "unanswered %", "lost %"}}
+	if byPlan {
+		t.Name, t.Head = "quota-plans", slices.Insert(t.Head, 3, "plan")
+	}
+	for _, q := range list {
+		if byPlan == (q.Plan == AllPlans) {
+			continue
+		}
+		cells := []any{q.Set, q.Limiters, speedName(q.Speed, q.Free), fmt.Sprintf("%.0f", q.PerSecond), percent(q.Beyond), percent(q.Spread),
+			percent(q.RefusedWithRoom), percent(q.RoomSpread), fmt.Sprintf("%.2f", q.CallsPerRequest), fmt.Sprintf("%.0f", q.Calls),
+			percent(q.Unanswered), percent(q.Lost)}
+		if byPlan {
+			cells = slices.Insert(cells, 3, any(q.Plan))
+		}
+		t.Add(cells...)
+	}
+	return t
+}
+
+func percent(v float64) string { return fmt.Sprintf("%.1f", 100*v) }
--- /dev/null
+++ b/internal/scale/quota_test.go
@@ -0,0 +1,194 @@
+package scale
+
+import (
+	"context"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/lab"
+	"bramblefall/internal/model"
+)
+
+// points are some of a run's, small enough for a test.
+func points(limiters int, load string, counters ...quotaPoint) (all []quotaPoint) {
+	k := slices.IndexFunc(quotaLoads(), func(l quotaLoad) bool { return l.name == load })
+	for _, c := range counters {
+		all = append(all, quotaPoint{quotaLoads()[k], limiters, c.speed, c.free})
+	}
+	return all
+}
+
+func TestTheSameSeedGivesTheSameQuotaFigures(t *testing.T) {
+	list := points(10, "units, all", quotaPoint{speed: 1}, quotaPoint{free: true})
+	first, err := quota(t.Context(), 7, 2, true, list, nil)
+	require.NoError(t, err)
+	again, err := quota(t.Context(), 7, 2, true, list, nil)
+	require.NoError(t, err)
+	require.Equal(t, first, again)
+	other, err := quota(t.Context(), 8, 2, true, list, nil)
+	require.NoError(t, err)
+	require.NotEqual(t, first, other)
+	require.Len(t, first, 2*5, "all plans, and each")
+	for _, q := range first {
+		require.Equal(t, 2, q.Seeds)
+		require.Positive(t, q.Tries, q.Plan)
+		for _, v := range []float64{q.Beyond, q.RefusedWithRoom, q.Unanswered, q.Lost} {
+			require.True(t, v >= 0 && v <= 1 && !math.IsNaN(v), "%+v", q)
+		}
+	}
+}
+
+// A crowd is the counter's: it is gone with an unlimited one, and what stays is the split's.
+func TestAnUnlimitedCounterHasNoCrowd(t *testing.T) {
+	list, err := quota(t.Context(), 1, 1, true, points(60, "each, 30", quotaPoint{speed: 0.5}, quotaPoint{}, quotaPoint{free: true}), nil)
+	require.NoError(t, err)
+	var sums []QuotaError
+	for _, q := range list {
+		if q.Plan == AllPlans {
+			sums = append(sums, q)
+		}
+	}
+	require.Len(t, sums, 3)
+	require.Greater(t, sums[0].Unanswered, 0.05)
+	for _, q := range sums[1:] {
+		require.Zero(t, q.Unanswered)
+		require.Zero(t, q.Lost)
+		require.Zero(t, q.Speed)
+		require.Less(t, q.Beyond, sums[0].Beyond)
+	}
+}
+
+// All limiters that a point names are in the world that is played, and the load is what its words say.
+func TestNoPointLosesLimitersOrLoad(t *testing.T) {
+	perSecond := map[string]map[int]float64{}
+	for _, p := range quotaPoints(false) {
+		s, _, err := p.scenario(false)
+		require.NoError(t, err)
+		require.Empty(t, s.Check(), s.Name)
+		require.Equal(t, p.limiters, s.Limiters, s.Name)
+		rate := 0.0
+		for _, f := range model.DrawFirms(s, 1) {
+			rate += f.Demand
+			require.LessOrEqual(t, f.Spread, p.limiters)
+			if p.load.name != "total, few" && p.load.name != "each, 30" {
+				require.Equal(t, p.limiters, f.Spread)
+			}
+		}
+		if perSecond[p.load.name] == nil {
+			perSecond[p.load.name] = map[int]float64{}
+		}
+		perSecond[p.load.name][p.limiters] = rate
+	}
+	require.Len(t, perSecond, 5)
+	for name, sizes := range perSecond {
+		require.Len(t, sizes, 5, name)
+		for n, rate := range sizes {
+			if name == "each, 30" {
+				require.InEpsilon(t, 20, rate/float64(n), 0.5, "%d limiters", n)
+			} else {
+				require.InEpsilon(t, sizes[3], rate, 0.15, "%s, %d limiters", name, n)
+			}
+		}
+	}
+}
+
+// Nodes have room: a policy that refuses nobody inside a quota is told of none that was refused with room.
+func TestWhatIsRefusedIsRefusedByQuotas(t *testing.T) {
+	whole, ok := model.PolicyNamed("whole-quota+least")
+	require.True(t, ok)
+	for _, load := range quotaLoads() {
+		s, _, err := quotaPoint{load, 10, 1, false}.scenario(true)
+		require.NoError(t, err)
+		r := model.New(s, 1, whole, false).Run()
+		require.Positive(t, r.Refused)
+		require.Less(t, float64(r.RoomRefused)/float64(r.Tries), 0.01, load.name)
+	}
+}
+
+// A run that is ended tells the points that are whole, and that it is not.
+func TestAnEndedRunSaysSo(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	list, err := quota(ctx, 1, 1, true, points(3, "total, all", quotaPoint{speed: 1}, quotaPoint{speed: 2}, quotaPoint{speed: 8}, quotaPoint{}),
+		func(string) { cancel() })
+	require.ErrorIs(t, err, context.Canceled)
+	require.Zero(t, len(list)%4)
+	require.Less(t, len(list), 16)
+}
+
+func TestADayHasItsChangesAndBursts(t *testing.T) {
+	at := drawDay(3)
+	require.Equal(t, at, drawDay(3))
+	require.NotEqual(t, at, drawDay(4))
+	require.Len(t, at, dayChanges)
+	require.True(t, slices.IsSorted(at))
+	require.Less(t, at[len(at)-1], float64(daySeconds))
+	second, _ := worst(at, 1)
+	minute, from := worst(at, 60)
+	require.Greater(t, minute, 10*dayChanges/1440, "a burst is far over the mean")
+	require.GreaterOrEqual(t, minute, second)
+	n := 0
+	for _, t := range at {
+		if t >= from && t < from+60 {
+			n++
+		}
+	}
+	require.Equal(t, minute, n)
+	many, begins := worst([]float64{0, 5, 5.5, 5.9, 6, 9}, 1)
+	require.Equal(t, 3, many)
+	require.Equal(t, 5.0, begins)
+}
+
+// The same seed gives the same moments, but for processor time. While regions are cut each gives out quotas by its own
+// counter, so more is sent beyond them, and it ends with the cut.
+func TestModelledMoments(t *testing.T) {
+	s := model.Base()
+	s.Limiters, s.Nodes, s.Firms.Count, s.Warm, s.Seconds = 10, 24, 60, 5, 75
+	s.Firms.Spread = model.Range{10, 10}
+	play := func(seed uint64) map[string]float64 { return regionPlay(context.Background(), s, seed, 25, 25) }
+	done := make(chan map[string]float64, 3)
+	for _, seed := range []uint64{1, 1, 2} {
+		go func() { done <- play(seed) }()
+	}
+	a, b, c := <-done, <-done, <-done
+	same := 0
+	for _, pair := range [][2]map[string]float64{{a, b}, {a, c}, {b, c}} {
+		if equal(pair[0], pair[1]) {
+			same++
+		}
+	}
+	require.Equal(t, 1, same, "seed 1 twice, seed 2 once")
+	for _, v := range []map[string]float64{a, b, c} {
+		require.Zero(t, v["broken rules"])
+		require.Greater(t, v["cut, beyond"], v["before, beyond"])
+		require.Less(t, v["healed, first 60 s, beyond"], 1.0)
+		require.Positive(t, v["cut, region 0, units/s"])
+		require.Positive(t, v["cut, region 1, units/s"])
+	}
+}
+
+func equal(a, b map[string]float64) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for k, v := range a {
+		if w, ok := b[k]; !ok || v != w {
+			return false
+		}
+	}
+	return true
+}
+
+func TestTablesHoldEveryRow(t *testing.T) {
+	list := []QuotaError{{Plan: AllPlans, Set: "a", Limiters: 3, Speed: 1}, {Plan: "full", Set: "a", Limiters: 3, Speed: 1},
+		{Plan: AllPlans, Set: "a", Limiters: 3, Free: true}}
+	require.Len(t, QuotaTable(list, false).Rows, 2)
+	require.Len(t, QuotaTable(list, true).Rows, 1)
+	for _, table := range []*lab.Table{QuotaTable(list, false), QuotaTable(list, true), MomentTable([]Moment{{Name: "day", Values: map[string]float64{"x": 1}}})} {
+		for _, row := range table.Rows {
+			require.Len(t, row, len(table.Head))
+		}
+	}
+}
