--- a/internal/scale/quota.go
+++ b/internal/scale/quota.go
@@ -16,27 +16,53 @@
 // quotaLoad is a load under which the quota's error is measured while limiters grow.
 type quotaLoad struct {
 	name, held string
+	counters   []counterKind
+	warm       float64 // seconds
 	make       func(limiters int) (model.Scenario, error)
 }
 
+// counterKind is a counter of some times the platform's speed, 0: unlimited, and whether limiters' own budget of calls is lifted.
+type counterKind struct {
+	speed float64
+	free  bool
+}
+
+var (
+	ladder = []counterKind{{speed: 1}, {speed: 2}, {speed: 8}, {speed: 0}, {speed: 0, free: true}}
+	ends   = []counterKind{{speed: 1}, {speed: 0}, {speed: 0, free: true}}
+)
+
+// A limiter begins with a third of its calls and takes up the others by some fifty answers, which takes the longer the fewer
+// requests it sees: what is measured is the time after that.
+const warmThin, warmBusy, measured = 50, 15, 25
+
 // quotaLoads are the loads. Nodes have room for twice what is asked for and more, so that what is refused is refused by
 // quotas.
 func quotaLoads() []quotaLoad {
 	return []quotaLoad{
 		{"total, all", "360 firms with their quotas and about 550 requests a second in all; a firm comes through every limiter",
-			func(n int) (model.Scenario, error) { return quotaBase(n, 360, 120, n), nil }},
+			ladder, warmThin, func(n int) (model.Scenario, error) { return quotaBase(n, 360, 120, n), nil }},
 		{"total, even", "the same, but evenly: without a busiest limiter that takes 0.6 of a firm's requests and changes every 6 to 22 s",
-			func(n int) (model.Scenario, error) {
+			ends, warmThin, func(n int) (model.Scenario, error) {
 				s := quotaBase(n, 360, 120, n)
 				s.Firms.Skew = 0
 				return s, nil
 			}},
 		{"total, few", "as the first, but a firm comes through 2 to 4 limiters",
-			func(n int) (model.Scenario, error) { return quotaBase(n, 360, 120, 0), nil }},
+			ends, warmThin, func(n int) (model.Scenario, error) { return quotaBase(n, 360, 120, 0), nil }},
+		{"total, no ceiling", "as the first, but the full plan has no ceiling",
+			ends[2:], warmThin, func(n int) (model.Scenario, error) {
+				s := quotaBase(n, 360, 120, n)
+				s.Tiers = slices.Clone(s.Tiers)
+				for k := range s.Tiers {
+					s.Tiers[k].CeilingRate, s.Tiers[k].CeilingBurst, s.Tiers[k].CeilingSlack = 0, 0, 0
+				}
+				return s, nil
+			}},
 		{"each, 30", "13 firms and about 20 requests a second for each limiter; a firm comes through 30 limiters (of fewer: all)",
-			func(n int) (model.Scenario, error) { return quotaBase(n, 13*n, max(4*n, 12), min(n, 30)), nil }},
+			ladder, warmBusy, func(n int) (model.Scenario, error) { return quotaBase(n, 13*n, max(4*n, 12), min(n, 30)), nil }},
 		{"units, all", "requests of 1.5 units on the mean, at most 8; 480 firms with the quotas of booking, about 950 requests a second in all; a firm comes through every limiter",
-			unitsLoad},
+			ends, warmThin, unitsLoad},
 	}
 }
 
@@ -75,15 +101,15 @@
 	if quick {
 		sizes = []int{3, 30}
 	}
-	counters := []quotaPoint{{speed: 1}, {speed: 2}, {speed: 8}, {speed: 0}, {speed: 0, free: true}}
-	if quick {
-		counters = []quotaPoint{{speed: 1}, {speed: 0}, {speed: 0, free: true}}
-	}
 	for _, n := range sizes {
 		for _, load := range quotaLoads() {
 			if quick && load.name != "total, all" && load.name != "units, all" {
 				continue
 			}
+			counters := load.counters
+			if quick {
+				counters = ends
+			}
 			for _, c := range counters {
 				all = append(all, quotaPoint{load, n, c.speed, c.free})
 			}
@@ -96,9 +122,9 @@
 func (p quotaPoint) scenario(quick bool) (model.Scenario, model.Policy, error) {
 	s, err := p.load.make(p.limiters)
 	s.Name = fmt.Sprintf("%s, %d limiters, %s", p.load.name, p.limiters, speedName(p.speed, p.free))
-	s.Seconds, s.Warm, s.Faults = 30, 8, nil
+	s.Seconds, s.Warm, s.Faults = p.load.warm+measured, p.load.warm, nil
 	if quick {
-		s.Seconds, s.Warm = 14, 5
+		s.Seconds, s.Warm = 15, 6
 	}
 	if s.Counter.PerSecond *= p.speed; p.speed == 0 {
 		s.Counter.PerSecond, s.Counter.Unlimited = 1e6, true
--- a/internal/scale/quota_test.go
+++ b/internal/scale/quota_test.go
@@ -22,7 +22,7 @@
 }
 
 func TestTheSameSeedGivesTheSameQuotaFigures(t *testing.T) {
-	list := points(10, "units, all", quotaPoint{speed: 1}, quotaPoint{free: true})
+	list := points(10, "each, 30", quotaPoint{speed: 1}, quotaPoint{free: true})
 	first, err := quota(t.Context(), 7, 2, true, list, nil)
 	require.NoError(t, err)
 	again, err := quota(t.Context(), 7, 2, true, list, nil)
@@ -31,7 +31,7 @@
 	other, err := quota(t.Context(), 8, 2, true, list, nil)
 	require.NoError(t, err)
 	require.NotEqual(t, first, other)
-	require.Len(t, first, 2*5, "all plans, and each")
+	require.Len(t, first, 2*4, "all plans, and each")
 	for _, q := range first {
 		require.Equal(t, 2, q.Seeds)
 		require.Positive(t, q.Tries, q.Plan)
@@ -43,7 +43,7 @@
 
 // A crowd is the counter's: it is gone with an unlimited one, and what stays is the split's.
 func TestAnUnlimitedCounterHasNoCrowd(t *testing.T) {
-	list, err := quota(t.Context(), 1, 1, true, points(60, "each, 30", quotaPoint{speed: 0.5}, quotaPoint{}, quotaPoint{free: true}), nil)
+	list, err := quota(t.Context(), 1, 1, true, points(40, "each, 30", quotaPoint{speed: 0.5}, quotaPoint{}, quotaPoint{free: true}), nil)
 	require.NoError(t, err)
 	var sums []QuotaError
 	for _, q := range list {
@@ -82,7 +82,7 @@
 		}
 		perSecond[p.load.name][p.limiters] = rate
 	}
-	require.Len(t, perSecond, 5)
+	require.Len(t, perSecond, 6)
 	for name, sizes := range perSecond {
 		require.Len(t, sizes, 5, name)
 		for n, rate := range sizes {
