The scale rig: hollow limiters beside real ones, slopes, moments, added time

`bramblelab scale` starts stand-ins of discovery, counter and servers, hollow limiters that run the limiter's own clients of discovery and the counter, and real limiters under load, each role in a process of its own, and fits what each role uses against the sizes.

--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -31,10 +32,10 @@
 var errBars = errors.New("bars do not hold")
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "bramblelab", Short: "Experiments on the limiter", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand())
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand(), scaleCommand(), scaleChildCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblelab:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,205 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramblefall/internal/admin"
+	"bramblefall/internal/core"
+	"bramblefall/internal/counter"
+	"bramblefall/internal/discovery"
+	"bramblefall/internal/loop"
+	"bramblefall/internal/plans"
+	"bramblefall/logic"
+)
+
+const callEvery = 10 * time.Millisecond // between two looks for calls that are due
+
+// Hollow holds hollow limiters: each follows discovery and calls the counter through the limiter's own packages, keeps the
+// list as they do, and serves nobody.
+type Hollow struct {
+	ctx context.Context
+
+	mu       sync.Mutex
+	limiters []*hollow
+	rate     float64 // calls a second of each
+	admins   int
+
+	calls, answered, failed atomic.Int64
+}
+
+type hollow struct {
+	counts *counter.Client
+
+	mu      sync.Mutex
+	addrs   map[logic.ServerID]string
+	version int64
+	at      time.Duration // when the last version came
+	listed  time.Duration // when the first whole list came
+}
+
+func newHollow(ctx context.Context) *Hollow {
+	h := &Hollow{ctx: ctx}
+	go h.call()
+	return h
+}
+
+// SetAddress implements discovery.Addresses.
+func (h *hollow) SetAddress(id logic.ServerID, addr string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addrs[id] = addr
+}
+
+// Withdraw implements discovery.Addresses. A hollow limiter has no connections to servers.
+func (h *hollow) Withdraw(logic.ServerID) {}
+
+func (h *hollow) news(ev core.Event) {
+	list, ok := ev.(core.UpstreamGroup)
+	if !ok {
+		return
+	}
+	at, newest := now(), int64(0)
+	for _, s := range list.Servers {
+		newest = max(newest, s.Started.Milliseconds())
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if list.Whole && h.listed == 0 {
+		h.listed = at
+	}
+	if newest > h.version {
+		h.version, h.at = newest, at
+	}
+}
+
+// HollowAdd says which limiters to add.
+type HollowAdd struct {
+	Limiters           int
+	Discovery, Counter string
+	Fleet              int // limiters in all, as the settings say
+	Calls              float64
+}
+
+func hollowSettings(fleet int) logic.Settings {
+	return logic.Settings{Gateways: fleet, DrainGrace: 500 * time.Millisecond, ZoneNames: zones, KindNames: []string{"std-3core"}}
+}
+
+// Add starts more limiters.
+func (h *Hollow) Add(a HollowAdd, _ *int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rate = a.Calls
+	for range a.Limiters {
+		l := &hollow{addrs: map[logic.ServerID]string{}}
+		list := discovery.New(a.Discovery, hollowSettings(a.Fleet), l, l.news)
+		l.counts = counter.New(a.Counter, func(ev core.Event) {
+			if r, ok := ev.(core.CountResult); ok && r.Status == logic.OK {
+				h.answered.Add(1)
+			} else {
+				h.failed.Add(1)
+			}
+		}, loop.Now)
+		go list.Run(h.ctx)
+		go l.counts.Run(h.ctx)
+		h.limiters = append(h.limiters, l)
+	}
+	return nil
+}
+
+// Calls sets how many calls a second each makes.
+func (h *Hollow) Calls(rate float64, _ *int) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rate = rate
+	return nil
+}
+
+func (h *Hollow) call() {
+	tick := time.NewTicker(callEvery)
+	defer tick.Stop()
+	last, due, next := now(), 0.0, 0
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		h.mu.Lock()
+		limiters, rate := h.limiters, h.rate
+		h.mu.Unlock()
+		at := now()
+		due += (at - last).Seconds() * rate * float64(len(limiters))
+		last = at
+		for ; due >= 1 && len(limiters) > 0; due-- {
+			next++
+			l := limiters[next%len(limiters)]
+			h.calls.Add(1)
+			l.counts.Count(core.Count{Call: uint64(next), Name: rand.Uint64N(1 << 20), Amount: 1, Lives: 10 * time.Second, Until: loop.Now() + time.Second})
+		}
+	}
+}
+
+// Arrived is how far hollow limiters are.
+type Arrived struct {
+	Limiters int
+	Behind   int             // that do not have the version
+	At       []time.Duration // when the others had it
+	Listed   []time.Duration // when they had their first whole list
+	Calls    int64
+	Answered int64
+	Failed   int64
+}
+
+// Arrivals tells who has a version, and when it came if it is the last.
+func (h *Hollow) Arrivals(version int64, out *Arrived) error {
+	h.mu.Lock()
+	limiters := h.limiters
+	h.mu.Unlock()
+	*out = Arrived{Limiters: len(limiters), Calls: h.calls.Load(), Answered: h.answered.Load(), Failed: h.failed.Load()}
+	for _, l := range limiters {
+		l.mu.Lock()
+		if l.version < version {
+			out.Behind++
+		} else {
+			out.At = append(out.At, l.at)
+		}
+		if l.listed > 0 {
+			out.Listed = append(out.Listed, l.listed)
+		}
+		l.mu.Unlock()
+	}
+	return nil
+}
+
+// Admins asks for limiters that have a plan book and the operators' service, and nothing else.
+type Admins struct {
+	Dir   string
+	Count int
+	Tiers []logic.Plan
+}
+
+// Admin starts so many and tells their sockets.
+func (h *Hollow) Admin(a Admins, out *[]string) error {
+	for range a.Count {
+		h.admins++
+		set := hollowSettings(1)
+		set.Plans, set.MostUnits = a.Tiers, 1
+		limits := plans.DefaultLimits
+		owner := loop.New(core.New(set, uint64(h.admins), plans.New(a.Tiers, limits)))
+		owner.Connect(nil, nil, &plans.Board{}, nil)
+		owner.Begin()
+		go owner.Run(h.ctx)
+		path := filepath.Join(a.Dir, fmt.Sprintf("%d.sock", h.admins))
+		if err := admin.New(owner).Listen(path); err != nil {
+			return err
+		}
+		*out = append(*out, path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scale/peers.go
@@ -0,0 +1,204 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/rpc"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Peer is what a child process serves to the rig, besides its role's own calls: figures of itself.
+type Peer struct{}
+
+// Nothing is the argument or answer of a call that needs none.
+type Nothing struct{ _ struct{} }
+
+// Collect frees what the process no longer uses, so that its memory can be compared.
+func (Peer) Collect(_ int, _ *int) error {
+	debug.FreeOSMemory()
+	return nil
+}
+
+// Roles of child processes.
+const (
+	hollowRole    = "hollow"
+	discoveryRole = "discovery"
+	counterRole   = "counter"
+	serversRole   = "servers"
+	loadRole      = "load"
+	operatorsRole = "operators"
+)
+
+type stdio struct {
+	io.Reader
+	io.Writer
+}
+
+func (stdio) Close() error { return nil }
+
+// Child serves one role to the process that started it, over in and out, until in ends: a child whose parent has ended ends.
+func Child(ctx context.Context, role string, in io.Reader, out io.Writer) error {
+	slog.SetDefault(slog.New(slog.DiscardHandler)) // thousands of limiters would each log their connections
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var it any
+	switch role {
+	case hollowRole:
+		it = newHollow(ctx)
+	case discoveryRole:
+		it = &Discovery{ctx: ctx}
+	case counterRole:
+		it = &Counter{}
+	case serversRole:
+		it = &Servers{}
+	case loadRole:
+		it = &Load{}
+	case operatorsRole:
+		it = &Operators{}
+	default:
+		return fmt.Errorf("no role %q", role)
+	}
+	s := rpc.NewServer()
+	if err := errors.Join(s.RegisterName("Peer", Peer{}), s.RegisterName("Role", it)); err != nil {
+		return err
+	}
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		s.ServeConn(stdio{in, out})
+	}()
+	select {
+	case <-over:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// Traffic counts messages and bytes both ways.
+type Traffic struct{ Messages, Bytes, Wholes, Changes, Beats, Opened, Open int64 }
+
+func (t Traffic) less(o Traffic) Traffic {
+	return Traffic{t.Messages - o.Messages, t.Bytes - o.Bytes, t.Wholes - o.Wholes, t.Changes - o.Changes, t.Beats - o.Beats, t.Opened - o.Opened, t.Open}
+}
+
+func (t Traffic) and(o Traffic) Traffic {
+	return Traffic{t.Messages + o.Messages, t.Bytes + o.Bytes, t.Wholes + o.Wholes, t.Changes + o.Changes, t.Beats + o.Beats, t.Opened + o.Opened, t.Open + o.Open}
+}
+
+// Sides is the traffic with hollow limiters together and with each real one.
+type Sides struct {
+	Hollow Traffic
+	Real   []Traffic
+}
+
+func (s Sides) real() (sum Traffic) {
+	for _, t := range s.Real {
+		sum = sum.and(t)
+	}
+	return sum
+}
+
+func (s Sides) all() Traffic { return s.Hollow.and(s.real()) }
+
+func (s Sides) less(o Sides) Sides {
+	out := Sides{Hollow: s.Hollow.less(o.Hollow)}
+	for k := range s.Real {
+		out.Real = append(out.Real, s.Real[k].less(o.Real[k]))
+	}
+	return out
+}
+
+// sides counts them.
+type sides []meter // of hollow limiters, then of each real one
+
+func (m sides) read() (s Sides) {
+	for k := range m {
+		if k == 0 {
+			s.Hollow = m[k].read()
+		} else {
+			s.Real = append(s.Real, m[k].read())
+		}
+	}
+	return s
+}
+
+// meter is a Traffic that is being counted.
+type meter struct{ messages, bytes, wholes, changes, beats, opened, open atomic.Int64 }
+
+func (m *meter) read() Traffic {
+	return Traffic{m.messages.Load(), m.bytes.Load(), m.wholes.Load(), m.changes.Load(), m.beats.Load(), m.opened.Load(), m.open.Load()}
+}
+
+// now is a clock that all processes of the machine share and that never steps.
+func now() time.Duration {
+	var t unix.Timespec
+	_ = unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	return time.Duration(t.Nano())
+}
+
+// processor is the time that a process has used so far; 0: it is gone.
+func processor(pid int) (sum time.Duration) {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, path := range threads {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			continue // the thread has just ended
+		}
+		first, _, _ := strings.Cut(string(raw), " ")
+		n, _ := strconv.ParseInt(first, 10, 64)
+		sum += time.Duration(n)
+	}
+	return sum
+}
+
+// resident is a process's memory in bytes.
+func resident(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var all, here, shared int64
+	_, _ = fmt.Sscan(string(raw), &all, &here, &shared)
+	return float64((here - shared) * int64(os.Getpagesize())) // without the program's text, which processes share
+}
+
+// meminfo is a line of the machine's memory figures, in bytes.
+func meminfo(name string) (int64, error) {
+	raw, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(raw)) {
+		if rest, ok := strings.CutPrefix(line, name+":"); ok {
+			kb, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")), 10, 64)
+			return kb << 10, err
+		}
+	}
+	return 0, fmt.Errorf("/proc/meminfo has no %s", name)
+}
+
+// onceErr keeps the first error of many.
+type onceErr struct {
+	mu  sync.Mutex
+	err error
+}
+
+func (o *onceErr) set(err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.err == nil {
+		o.err = err
+	}
+}
