Tests of the scale rig: exact counts, contradicting sizes, a taken port, processes that die

Forty hollow limiters and two real ones: whole lists, changes, calls and answers are counted one by one, all hollow limiters end with one version, no request is lost, and no process is left; also after SIGINT, SIGTERM and SIGKILL of the rig, and after a limiter, a hollow process or discovery is killed midway: the figures so far are kept and say that they are partial.

--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -84,10 +84,11 @@
 	Discovery, Counter string
 	Fleet              int // limiters in all, as the settings say
 	Calls              float64
+	Grace              time.Duration
 }
 
-func hollowSettings(fleet int) logic.Settings {
-	return logic.Settings{Gateways: fleet, DrainGrace: 500 * time.Millisecond, ZoneNames: zones, KindNames: []string{"std-3core"}}
+func hollowSettings(fleet int, grace time.Duration) logic.Settings {
+	return logic.Settings{Gateways: fleet, DrainGrace: grace, ZoneNames: zones, KindNames: []string{"std-3core"}}
 }
 
 // Add starts more limiters.
@@ -97,7 +98,7 @@
 	h.rate = a.Calls
 	for range a.Limiters {
 		l := &hollow{addrs: map[logic.ServerID]string{}}
-		list := discovery.New(a.Discovery, hollowSettings(a.Fleet), l, l.news)
+		list := discovery.New(a.Discovery, hollowSettings(a.Fleet, a.Grace), l, l.news)
 		l.counts = counter.New(a.Counter, func(ev core.Event) {
 			if r, ok := ev.(core.CountResult); ok && r.Status == logic.OK {
 				h.answered.Add(1)
@@ -188,7 +189,7 @@
 func (h *Hollow) Admin(a Admins, out *[]string) error {
 	for range a.Count {
 		h.admins++
-		set := hollowSettings(1)
+		set := hollowSettings(1, usualGrace)
 		set.Plans, set.MostUnits = a.Tiers, 1
 		limits := plans.DefaultLimits
 		owner := loop.New(core.New(set, uint64(h.admins), plans.New(a.Tiers, limits)))
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,6 +28,8 @@
 	moreRequests  = 10
 	firmsPerRate  = 4.25 // firms that a limiter sees for each request a second: 268 at 63
 	firmSpread    = 3
+	usualGrace    = 500 * time.Millisecond
+	mostBeside    = 1000 // hollow limiters while added time is measured
 	serverWork    = 2 * time.Millisecond
 )
 
@@ -52,7 +56,8 @@
 	Calls        float64   // a second of a hollow limiter
 	Window       time.Duration
 	Settle       time.Duration
-	Beside       float64 // changes a second while something else grows
+	Beside       float64       // changes a second while something else grows
+	Grace        time.Duration // for a drain, by the settings: how soon a silent watch is doubted follows from it
 
 	small bool // the short form: counts only
 }
@@ -70,14 +75,14 @@
 func QuickSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(1000, hollowProcesses), FleetServers: 100, Servers: spread(10_000, 1), Changes: []float64{0.8, 3, 8, 25, 80},
 		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(3000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
-		Calls: 2, Window: 1300 * time.Millisecond, Settle: 300 * time.Millisecond, Beside: 4}
+		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace}
 }
 
 // FullSizes are those of the target, as far as a machine bears them.
 func FullSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(5700, hollowProcesses), FleetServers: 570, Servers: spread(57_000, 1), Changes: []float64{0.38, 1.2, 3.8, 12, 38},
 		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(10_000, 1), Known: spread(100_000, 1), Told: spread(1000, 1), Services: spread(1000, 1),
-		Calls: 1, Window: 5 * time.Second, Settle: time.Second, Beside: 2}
+		Calls: 1, Window: 4 * time.Second, Settle: time.Second, Beside: 2, Grace: usualGrace}
 }
 
 // Set replaces sizes that are not 0, and those of their sweeps.
@@ -149,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := o.Sizes.room(); err != nil {
+	if err := errors.Join(loopback(o.Listen), o.Sizes.room()); err != nil {
 		return nil, err
 	}
 	dir, err := os.MkdirTemp("", "scale")
@@ -175,6 +180,21 @@
 	return r.figures, nil
 }
 
+// loopback tells whether an address may be listened at: the rig is reached from this machine alone.
+func loopback(addr string) error {
+	if addr == "" {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return fmt.Errorf("%s is no loopback address", addr)
+	}
+	return nil
+}
+
 func (r *run) say(format string, args ...any) { r.Say(format, args...) }
 
 // stage tells where the run is.
@@ -269,14 +289,15 @@
 func (r *run) limiter(k, fleet int, more string) (*limiter, error) {
 	script := `bramblefall(admin = admin(socket = "admin.sock"), limits = limits(late = 10)` + more + ")\n"
 	return r.f.limiter(r.binary, filepath.Join(r.dir, fmt.Sprint(k)), name("limiter", k), map[string]any{"name": name("n", k), "listen": "127.0.0.1:0",
-		"seed": fmt.Sprintf("%x", r.Seed*1000+uint64(k)), "limits": map[string]any{"cores": 1.0, "memory_mb": 512, "sockets": 1024}, "settings": settings(fleet, k),
+		"seed": fmt.Sprintf("%x", r.Seed*1000+uint64(k)), "limits": map[string]any{"cores": 1.0, "memory_mb": 512, "sockets": 1024}, "settings": r.Sizes.settings(fleet, k),
 		"counter": r.counterAt.Real[k%r.Sizes.Real], "discovery": r.discoveryAt.Real[k%r.Sizes.Real]}, script)
 }
 
 // settings are those of a limiter of a fleet.
-func settings(fleet, rank int) map[string]any {
+func (s Sizes) settings(fleet, rank int) map[string]any {
 	set := lab.Settings(fleet, rank, tiers)
 	set["zones"], set["zone"] = zones, rank%len(zones)
+	set["rules"].(map[string]any)["drainGrace"] = s.Grace.Seconds()
 	return set
 }
 
@@ -583,7 +604,7 @@
 		return nil
 	}
 	r.hollowCount[k] += n
-	return r.f.call(r.hollow[k], "Role.Add", HollowAdd{n, r.discoveryAt.Hollow, r.counterAt.Hollow, r.fleetSize(), r.Sizes.Calls}, new(int))
+	return r.f.call(r.hollow[k], "Role.Add", HollowAdd{n, r.discoveryAt.Hollow, r.counterAt.Hollow, r.fleetSize(), r.Sizes.Calls, r.Sizes.Grace}, new(int))
 }
 
 // shrink ends all hollow limiters, when their calls are answered.
@@ -741,6 +762,15 @@
 
 // withControl measures the added time with the whole fleet and the target's rate of changes.
 func (r *run) withControl() error {
+	if n := r.hollows(); n > mostBeside {
+		// A burst told to all of them would cost this machine more than it has: their processor time is not a real limiter's.
+		if err := r.shrink(); err != nil {
+			return err
+		}
+		if err := r.grow(mostBeside); err != nil {
+			return err
+		}
+	}
 	for _, rate := range []float64{targetRate, moreRequests * targetRate} {
 		lasts := max(r.Sizes.Window, burstLasts+time.Second)
 		_, got, err := r.window(lasts, r.usual(rate), r.targetControl(lasts))
@@ -836,5 +866,9 @@
 	if err := r.besideServers(targetRate); err != nil {
 		return err
 	}
+	var size [2]int
+	if err := r.f.call(r.discovery, "Role.Size", 0, &size); err != nil || size[0] < mayBeTooLong {
+		return err
+	}
 	return r.fresh()
 }
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,343 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/lab"
+)
+
+// The test's program is also the rig's children, and a rig that a test ends from outside.
+const (
+	childVar = "BRAMBLEFALL_SCALE_CHILD"
+	rigVar   = "BRAMBLEFALL_SCALE_RIG"
+)
+
+var binary struct {
+	once sync.Once
+	path string
+	err  error
+}
+
+func TestMain(m *testing.M) {
+	if role := os.Getenv(childVar); role != "" {
+		if err := Child(context.Background(), role, os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	if path := os.Getenv(rigVar); path != "" {
+		rig(path)
+		return
+	}
+	code := m.Run()
+	if binary.path != "" {
+		_ = os.RemoveAll(filepath.Dir(binary.path))
+	}
+	os.Exit(code)
+}
+
+// rig runs until it is told to end. It writes its processes' ids once it has limiters.
+func rig(path string) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	o := small(path)
+	o.Hook = func(stage string, list Processes) {
+		if stage == "moments" {
+			raw, _ := json.Marshal(list)
+			fmt.Printf("%s\n", raw)
+		}
+	}
+	f, err := Run(ctx, o)
+	if err == nil || f == nil || f.Partial == "" {
+		os.Exit(3)
+	}
+	os.Exit(1)
+}
+
+func child(role string) *exec.Cmd {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childVar+"="+role)
+	return cmd
+}
+
+// small is a run of counts: nothing in it is judged by its time.
+func small(binary string) Options {
+	return Options{Seed: 1, Binary: binary, Child: child, Say: func(string, ...any) {}, Sizes: Sizes{Real: 2, Fleet: []int{10, 20, 40}, FleetServers: 40,
+		Servers: []int{40, 80, 120}, Changes: []float64{5, 10, 20}, Rates: []float64{10, 20, 40}, Active: []int{10, 20}, Known: []int{10, 20}, Told: []int{1, 2, 4},
+		Services: []int{2, 4, 8}, Calls: 5, Window: 200 * time.Millisecond, Settle: 100 * time.Millisecond, Beside: 20, Grace: 4 * time.Second, small: true}}
+}
+
+func program(t *testing.T) string {
+	for _, sources := range []string{"../../go.*", "../../logic/*.go", "../*/*.go", "../../cmd/bramblefall*/*.go"} {
+		files, _ := filepath.Glob(sources)
+		for _, f := range files { // the program is built out of go test's sight: what is looked at counts in its cache
+			_, _ = os.Stat(f)
+		}
+	}
+	binary.once.Do(func() {
+		dir, err := os.MkdirTemp("", "scale")
+		if err == nil {
+			binary.path, err = lab.Build(context.Background(), dir)
+		}
+		binary.err = err
+	})
+	require.NoError(t, binary.err)
+	return binary.path
+}
+
+func alive(pid int) bool {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	return !strings.HasPrefix(rest, "Z") // a dead process that nobody has waited for yet
+}
+
+func requireGone(t *testing.T, list Processes) {
+	t.Helper()
+	require.NotEmpty(t, list)
+	for name, pid := range list {
+		require.Eventually(t, func() bool { return !alive(pid) }, 5*time.Second, 10*time.Millisecond, "%s is left", name)
+	}
+}
+
+// Forty hollow limiters and two real ones: each whole list, change, call and answer is counted once, all end with the same
+// version, and nothing is left running.
+func TestMessagesAreCountedExactly(t *testing.T) {
+	o := small(program(t))
+	const hollows, changes = 40, 25
+	r := &run{Options: o, f: newFamily(t.Context()), dir: t.TempDir(), binary: o.Binary, ledger: newLedger(), figures: &Figures{}}
+	var list Processes
+	r.Hook = func(_ string, l Processes) { list = l }
+	func() {
+		defer r.f.close()
+		require.NoError(t, r.start())
+		require.NoError(t, r.grow(hollows))
+		var done Steadied
+		require.NoError(t, r.f.call(r.discovery, "Role.Steady", Steady{PerSecond: 50, For: changes * time.Second / 50, Among: 8}, &done))
+		require.Equal(t, changes, done.Changes)
+		r.version = done.Last.Version
+		require.EqualValues(t, 1+changes, r.version)
+		at, behind, err := r.arrivals(hearLimit, r.hollow)
+		require.NoError(t, err)
+		require.Zero(t, behind)
+		require.Len(t, at, hollows)
+		for _, p := range r.hollow { // nobody is ahead: all have the same
+			var a Arrived
+			require.NoError(t, r.f.call(p, "Role.Arrivals", r.version+1, &a))
+			require.Equal(t, a.Limiters, a.Behind)
+			require.Len(t, a.Listed, a.Limiters)
+			require.NoError(t, r.f.call(p, "Role.Calls", 0.0, new(int)))
+		}
+		var got Loaded
+		require.NoError(t, r.f.call(r.load, "Role.Run", LoadRun{r.usual(40), time.Second, 1}, &got))
+		require.Positive(t, got.Sent)
+		require.Equal(t, Loaded{Sent: got.Sent, Served: got.Served, Refused: got.Refused, P50: got.P50, P99: got.P99}, got, "none is lost")
+		require.Equal(t, got.Sent, got.Served+got.Refused)
+		var took int64
+		require.NoError(t, r.f.call(r.servers, "Role.Took", 0, &took))
+		require.GreaterOrEqual(t, took, int64(got.Served))
+
+		var s sample
+		require.Eventually(t, func() bool { // a real limiter may still be reading the last change
+			s, err = r.sample()
+			return err == nil && s.discovery.real().Changes == int64(len(r.real)*changes)
+		}, 5*time.Second, 20*time.Millisecond)
+		h, real := s.discovery.Hollow, s.discovery.Real
+		assert.EqualValues(t, hollows, h.Opened)
+		assert.EqualValues(t, hollows, h.Wholes)
+		assert.EqualValues(t, hollows*changes, h.Changes)
+		assert.Equal(t, h.Opened+h.Wholes+h.Changes+h.Beats, h.Messages)
+		require.Len(t, real, len(r.real))
+		for _, x := range real {
+			assert.EqualValues(t, 1, x.Opened)
+			assert.EqualValues(t, 1, x.Wholes)
+			assert.EqualValues(t, changes, x.Changes)
+			assert.Equal(t, x.Opened+x.Wholes+x.Changes+x.Beats, x.Messages)
+		}
+		var calls, answered int64
+		for _, p := range r.hollow {
+			var a Arrived
+			require.NoError(t, r.f.call(p, "Role.Arrivals", r.version, &a))
+			calls, answered = calls+a.Calls, answered+a.Answered
+			require.Zero(t, a.Failed)
+		}
+		require.Positive(t, calls)
+		require.Equal(t, calls, answered)
+		c := s.counts.Hollow
+		assert.Equal(t, calls, c.Changes)
+		assert.Equal(t, 2*(c.Changes+c.Beats), c.Messages)
+		assert.EqualValues(t, hollows, c.Opened)
+		r.stage("the end")
+	}()
+	require.Len(t, list, 5+hollowProcesses+len(r.real))
+	requireGone(t, list)
+}
+
+func TestSizesThatContradictAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*Sizes){
+		"real limiters":       func(s *Sizes) { s.Real = 7 },
+		"at least 100":        func(s *Sizes) { s.Fleet = []int{10, 50} },
+		"processes are":       func(s *Sizes) { s.Real = 290 },
+		"a list only grows":   func(s *Sizes) { s.Servers = []int{20, 60} },
+		"descriptors":         func(s *Sizes) { s.Fleet = []int{10, 30_000} },
+		"of the machine's me": func(s *Sizes) { s.FleetServers, s.Servers, s.Fleet = 1_000_000, []int{1_000_000}, []int{10_000} },
+		"servers beside":      func(s *Sizes) { s.FleetServers = 5 },
+	} {
+		o := small("/nowhere")
+		o.Sizes = QuickSizes()
+		change(&o.Sizes)
+		f, err := Run(t.Context(), o)
+		require.Nil(t, f)
+		require.ErrorContains(t, err, name)
+		require.NotContains(t, err.Error(), "\n")
+	}
+	for _, bad := range [][4]int{{-1, 0, 0, 0}, {105, 0, 0, 0}, {0, 0, 0, -8}} {
+		s := QuickSizes()
+		require.Error(t, s.Set(bad[0], bad[1], bad[2], bad[3]), bad)
+	}
+	o := small("/nowhere")
+	o.Listen = "0.0.0.0:0"
+	_, err := Run(t.Context(), o)
+	require.ErrorContains(t, err, "no loopback address")
+}
+
+func TestATakenPortEndsTheRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	o := small(program(t))
+	o.Listen = l.Addr().String()
+	var list Processes
+	r := &run{Options: o, f: newFamily(t.Context()), dir: t.TempDir(), binary: o.Binary, ledger: newLedger(), figures: &Figures{}}
+	r.Hook = func(_ string, l Processes) { list = l }
+	err = r.start()
+	r.stage("the port is taken")
+	r.f.close()
+	require.ErrorContains(t, err, "address already in use")
+	require.NotContains(t, err.Error(), "\n")
+	requireGone(t, list)
+
+	f, err := Run(t.Context(), o)
+	require.ErrorContains(t, err, "address already in use")
+	require.NotEmpty(t, f.Partial)
+}
+
+// What was measured before a process died is kept, and says that it is partial.
+func TestAProcessThatDiesEndsTheRunAndItsFiguresAreKept(t *testing.T) {
+	for _, role := range []string{"limiter-1", "hollow-3", discoveryRole} {
+		o := small(program(t))
+		var list Processes
+		o.Hook = func(stage string, l Processes) {
+			if stage == "moments" {
+				list = l
+				require.NoError(t, syscall.Kill(l[role], syscall.SIGKILL))
+			}
+		}
+		f, err := Run(t.Context(), o)
+		require.ErrorContains(t, err, "the process "+role+" ended by itself")
+		require.NotContains(t, err.Error(), "\n")
+		require.Equal(t, err.Error(), f.Partial)
+		_, ok := find(f.Slopes, slopeKey{"limiter", "messages", "requests"})
+		require.True(t, ok)
+		_, ok = find(f.Slopes, slopeKey{"hollow", "memory", "limiters"})
+		require.True(t, ok)
+		require.Len(t, list, 5+hollowProcesses+2)
+		requireGone(t, list)
+
+		dir := t.TempDir()
+		require.NoError(t, f.Keep(dir))
+		raw, err := os.ReadFile(filepath.Join(dir, File))
+		require.NoError(t, err)
+		var again Figures
+		require.NoError(t, json.Unmarshal(raw, &again))
+		require.Equal(t, f.Partial, again.Partial)
+		require.Equal(t, f.Slopes, again.Slopes)
+		require.FileExists(t, filepath.Join(dir, "index.html"))
+	}
+}
+
+// However a rig ends, its processes end.
+func TestNothingIsLeftOfARigThatIsEnded(t *testing.T) {
+	for _, s := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGKILL} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), rigVar+"="+program(t))
+		out, err := cmd.StdoutPipe()
+		require.NoError(t, err)
+		require.NoError(t, cmd.Start())
+		var list Processes
+		raw, err := bufio.NewReader(out).ReadBytes('\n')
+		require.NoError(t, err)
+		require.NoError(t, json.Unmarshal(raw, &list))
+		require.NoError(t, cmd.Process.Signal(s))
+		var ended *exec.ExitError
+		require.True(t, errors.As(cmd.Wait(), &ended))
+		if s != syscall.SIGKILL {
+			require.Equal(t, 1, ended.ExitCode(), "it ends by itself and says that its figures are partial")
+		}
+		requireGone(t, list)
+	}
+}
+
+func TestLineFindsSlopeAndError(t *testing.T) {
+	intercept, slope, failing := line([]float64{1, 2, 3, 4}, []float64{5, 7, 9, 11})
+	require.InDelta(t, 3, intercept, 1e-9)
+	require.InDelta(t, 2, slope, 1e-9)
+	require.InDelta(t, 0, failing, 1e-9)
+	_, slope, failing = line([]float64{0, 1, 2, 3}, []float64{0, 2, 1, 3}) // by hand: residuals -0.3, 0.9, -0.9, 0.3; Sxx 5
+	require.InDelta(t, 0.8, slope, 1e-9)
+	require.InDelta(t, 1.8/2/5, failing*failing, 1e-9)
+}
+
+func TestBarsBreakOnWhatTheyAreFor(t *testing.T) {
+	good := func() *run {
+		r := &run{Options: Options{Sizes: Sizes{Fleet: []int{10}}}, figures: &Figures{Hollow: 10, Moments: []Moment{{Name: "change", Last: 0.1}}}}
+		for _, key := range sure {
+			r.figures.Slopes = append(r.figures.Slopes, Slope{Role: key.role, What: key.what, Against: key.against, PerUnit: 1, Error: 0.1})
+		}
+		for range 3 {
+			r.figures.Added = append(r.figures.Added, AddedTime{Control: true, P99: 1})
+		}
+		return r
+	}
+	r := good()
+	r.bars()
+	require.Empty(t, r.figures.Broken())
+	for name, spoil := range map[string]func(*run){
+		"all hollow":  func(r *run) { r.figures.Hollow = 9 },
+		"every hollo": func(r *run) { r.figures.Moments[0].Note = "1 hollow limiters " + unheard },
+		"the last li": func(r *run) { r.figures.Moments[0].Last = 3.1 },
+		"no request ": func(r *run) { r.lost = 1 },
+		"every call ": func(r *run) { r.unanswered = 1 },
+		"slope of ho": func(r *run) { r.figures.Slopes[0].PerUnit = -1 },
+		"slope of di": func(r *run) { r.figures.Slopes[3].Error = 0.5 },
+		"99 in 100 r": func(r *run) { r.figures.Added[1].P99 = 3 },
+		"added time ": func(r *run) { r.figures.Added[0].Control = false },
+	} {
+		r := good()
+		spoil(r)
+		r.bars()
+		broken := r.figures.Broken()
+		require.Len(t, broken, 1, name)
+		require.Contains(t, broken[0], name)
+	}
+}
--- a/internal/scale/sweeps.go
+++ b/internal/scale/sweeps.go
@@ -16,6 +16,7 @@
 	clusterSeen  = 1500 * time.Millisecond
 	clusterIdle  = time.Second
 	freshAsks    = 2 * time.Second // of a limiter started beside the longest list
+	mayBeTooLong = 1 << 20         // bytes of a line
 	listTooLong  = "list is too long"
 	clusterType  = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 	clusterNamed = "c-0"
@@ -174,7 +175,7 @@
 func (r *run) followed(dir, file string) (*limiter, error) {
 	script := fmt.Sprintf(`bramblefall(ratelimit = ratelimit(listen = "127.0.0.1:0", others = others(cluster = %q, clusters = %q, endpoints = %q)))`+"\n", clusterNamed, file, file)
 	return r.f.limiter(r.binary, filepath.Join(dir, "limiter"), "limiter-services", map[string]any{"name": "services", "listen": "127.0.0.1:0",
-		"seed": "1", "limits": map[string]any{"cores": 1.0, "memory_mb": 512, "sockets": 1024}, "settings": settings(1, 0)}, script)
+		"seed": "1", "limits": map[string]any{"cores": 1.0, "memory_mb": 512, "sockets": 1024}, "settings": r.Sizes.settings(1, 0)}, script)
 }
 
 // writeClusters puts a file of so many clusters in the place of the one before.
