--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -30,17 +31,11 @@
 // errBars says that a run's stated bounds do not hold.
 var errBars = errors.New("bars do not hold")
 
-// more are the sub-commands of other files.
-var more []func() *cobra.Command
-
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cobra.Command{Use: "bramblelab", Short: "Experiments on the limiter", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand())
-	for _, c := range more {
-		root.AddCommand(c())
-	}
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand(), scaleCommand(), scaleChildCommand(), quotaCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblelab:", err)
 		os.Exit(1)
--- a/cmd/bramblelab/quota.go
+++ b/cmd/bramblelab/quota.go
@@ -13,8 +13,6 @@
 	"bramblefall/internal/scale"
 )
 
-func init() { more = append(more, quotaCommand) }
-
 func quotaCommand() *cobra.Command {
 	o := &common{}
 	c := &cobra.Command{Use: "quota", Args: cobra.NoArgs,
