bramblelab capacity: a check that a page of figures follows from measured slopes

Seen: figures on our pages are copied by hand, and nothing says which run they rest on once the run is played again. Excluded: generating the page whole (its reasons and mechanisms are a person's), spreadsheets (no review by line).

--- /dev/null
+++ b/cmd/bramblelab/capacity.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"bramblefall/internal/capacity"
+	"bramblefall/internal/scale"
+)
+
+// errPage says that a page does not follow from its figures.
+var errPage = errors.New("things do not follow")
+
+// capacityCommand checks the page of capacity, or rewrites what follows on it.
+func capacityCommand() *cobra.Command {
+	page, write := filepath.Join("docs", "CAPACITY.md"), false
+	var from []string
+	c := &cobra.Command{Use: "capacity", Args: cobra.NoArgs,
+		Short: "Check the capacity page against measured figures; exit 0 only where all of it follows",
+		Long: "Check that each figure, extrapolation, budget and verdict of the capacity page follows from the figures in the files " +
+			"(several are merged), the target and the page's assumptions. Without --from the files are those that the page names on " +
+			"its line \"Figures:\". The last line is the main figure: the largest missing factor, and its row.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := os.ReadFile(page)
+			if err != nil {
+				return err
+			}
+			if len(from) == 0 {
+				from = capacity.Sources(string(text))
+			}
+			if len(from) == 0 {
+				return fmt.Errorf("%s names no files on a line \"Figures:\", and --from is not given", page)
+			}
+			figures, err := readFigures(from)
+			if err != nil {
+				return err
+			}
+			review := capacity.Check(string(text), figures...)
+			if write && review.Page != string(text) {
+				if err := os.WriteFile(page, []byte(review.Page), 0o644); err != nil {
+					return err
+				}
+				review = capacity.Check(review.Page, figures...)
+			}
+			for _, f := range review.Findings {
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", page, f)
+			}
+			fmt.Fprintln(c.OutOrStdout(), review.Main)
+			if n := len(review.Findings); n > 0 {
+				return fmt.Errorf("%d %w", n, errPage)
+			}
+			return nil
+		}}
+	c.Flags().StringSliceVar(&from, "from", nil, "files of figures, such as the scale rig keeps; by default those that the page names")
+	c.Flags().StringVar(&page, "page", page, "the page")
+	c.Flags().BoolVar(&write, "write", false, "rewrite figures, verdicts and lists of the page, then check it")
+	return c
+}
+
+func readFigures(files []string) (all []scale.Figures, err error) {
+	for _, name := range files {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		var f scale.Figures
+		if err := json.Unmarshal(raw, &f); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, f)
+	}
+	return all, nil
+}
--- a/cmd/bramblelab/main.go
+++ b/cmd/bramblelab/main.go
@@ -34,7 +34,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "bramblelab", Short: "Experiments on the limiter", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand())
+	root.AddCommand(runCommand(), sweepCommand(), compareCommand(), searchCommand(), replayCommand(), reportCommand(), chartCommand(), watchCommand(), capacityCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "bramblelab:", err)
 		os.Exit(1)
