bramblelab capacity measure: one real limiter with long lists, many firms, a long plan book

Excluded: reading a limiter's log for whether it has a list (it says nothing of it): the version that its next watch asks from says it.

--- a/cmd/bramblelab/capacity.go
+++ b/cmd/bramblelab/capacity.go
@@ -6,10 +6,12 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"bramblefall/internal/capacity"
+	"bramblefall/internal/lab"
 	"bramblefall/internal/scale"
 )
 
@@ -59,6 +61,49 @@
 	c.Flags().StringSliceVar(&from, "from", nil, "files of figures, such as the scale rig keeps; by default those that the page names")
 	c.Flags().StringVar(&page, "page", page, "the page")
 	c.Flags().BoolVar(&write, "write", false, "rewrite figures, verdicts and lists of the page, then check it")
+	c.AddCommand(measureCommand())
+	return c
+}
+
+// measureCommand measures one real limiter by itself, beside what the scale rig measures.
+func measureCommand() *cobra.Command {
+	o := &common{}
+	var out string
+	c := &cobra.Command{Use: "measure", Args: cobra.NoArgs, Short: "Measure one real limiter with long lists, many firms and a long plan book (about 4 minutes)",
+		RunE: func(c *cobra.Command, _ []string) error {
+			dir, err := os.MkdirTemp("", "bramblelab")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			binary := o.binary
+			if binary == "" {
+				o.say(c, "building the limiter")
+				if binary, err = lab.Build(c.Context(), dir); err != nil {
+					return err
+				}
+			}
+			sizes := scale.FullResident()
+			if o.quick {
+				sizes = scale.QuickResident()
+			}
+			slopes, refused, err := scale.Resident(c.Context(), binary, sizes, func(format string, args ...any) { o.say(c, format, args...) })
+			f := scale.Figures{Version: 1, Quick: o.quick, Slopes: slopes, Quota: []scale.QuotaError{}, Moments: []scale.Moment{}, Added: []scale.AddedTime{}}
+			f.Cores, f.MemoryMB = scale.Machine()
+			if err != nil {
+				f.Partial = err.Error()
+			}
+			raw, _ := json.MarshalIndent(f, "", "  ")
+			if err := errors.Join(os.WriteFile(out, append(raw, '\n'), 0o644), err); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d slopes; whole lists not taken as one line, by servers: %v\n", len(slopes), refused)
+			return nil
+		}}
+	o.began = time.Now()
+	c.Flags().StringVar(&out, "out", "resident.json", "the file for the figures")
+	c.Flags().BoolVar(&o.quick, "quick", false, "small sizes, under a minute: a trial")
+	c.Flags().StringVar(&o.binary, "binary", "", "the limiter's program, its evaluator beside it; by default it is built from here")
 	return c
 }
 
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -39,9 +39,18 @@
 	Beyond          float64 `json:"beyond"`
 	RefusedWithRoom float64 `json:"refused_with_room"` // share of the tries refused with half of the quota unused
 	CallsPerRequest float64 `json:"calls_per_request"`
-	Unanswered      float64 `json:"unanswered"` // share of the calls without an answer in time
+	Unanswered      float64 `json:"unanswered"` // share of the calls without an answer in time, the limit of the settings
 	Seeds           int     `json:"seeds"`
 	Spread          float64 `json:"spread"` // of Beyond over the seeds, standard deviation
+
+	Set        string  `json:"set"`         // the load: what is held while limiters grow
+	Held       string  `json:"held"`        // in words
+	Free       bool    `json:"free"`        // without the module's own budget of calls
+	PerSecond  float64 `json:"per_second"`  // requests that the clients of all plans began
+	Calls      float64 `json:"calls"`       // a second, of all limiters
+	Lost       float64 `json:"lost"`        // share of the calls that brought nothing of use at all, turned away or too late
+	Tries      int     `json:"tries"`       // of this plan, over the seeds
+	RoomSpread float64 `json:"room_spread"` // of RefusedWithRoom over the seeds, standard deviation
 }
 
 // Moment is one event that all limiters have to hear of, or to bear.
@@ -55,6 +64,9 @@
 	Bytes    float64 `json:"bytes"`
 	Model    bool    `json:"model"` // in the model's time, not on sockets
 	Note     string  `json:"note,omitempty"`
+
+	Values map[string]float64 `json:"values,omitempty"` // what else was measured, by its name
+	Cost   map[string]float64 `json:"cost,omitempty"`   // processor time: the one thing of the model that differs by run
 }
 
 // AddedTime is what a real limiter adds to a request.
--- /dev/null
+++ b/internal/scale/module.go
@@ -0,0 +1,96 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"runtime"
+	"time"
+
+	"bramblefall/internal/lab"
+	"bramblefall/internal/wire"
+	"bramblefall/logic"
+)
+
+const (
+	moduleRate     = 10_000 // requests a second: 510,000 firms within a minute
+	moduleLimiters = 3
+	moduleServers  = 100
+	moduleTTL      = time.Second
+)
+
+// moduleMemory is the heap that the decision module holds, after a collection, when so many firms have each asked once within
+// a minute; it grows with the firms that are active. Answers come at once.
+func moduleMemory(firms int) (held float64, err error) {
+	raw, err := json.Marshal(lab.Settings(moduleLimiters, 0, []logic.Plan{{Name: "regular", Rate: 1e6, Burst: 1e6, Price: 1, OverCost: 0.5}}))
+	if err != nil {
+		return 0, err
+	}
+	set, err := wire.SettingsFromJSON(raw)
+	if err != nil {
+		return 0, err
+	}
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC() // what finalizers and pools held until the first
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	before := heap()
+	g := logic.New(set, 1)
+	now := time.Second
+	timers := map[uint32]time.Duration{}
+	served := 0
+	var handle func(logic.Event)
+	handle = func(e logic.Event) {
+		for _, a := range g.Handle(now, e) {
+			switch a := a.(type) {
+			case logic.Send:
+				served++
+				handle(logic.Outcome{ID: a.ID, Server: a.Server, Status: logic.OK, Closed: true})
+			case logic.Count:
+				handle(logic.CountResult{Name: a.Name, Total: a.Amount})
+			case logic.SetTimer:
+				timers[a.Token] = now + a.After
+			}
+		}
+	}
+	list := logic.ServerList{Whole: true}
+	for k := range moduleServers {
+		list.Servers = append(list.Servers, logic.Server{ID: logic.ServerID(k + 1), Weight: 1, Cell: k / 2, State: logic.Ready})
+	}
+	handle(list)
+	for k := range firms {
+		for token, at := range timers {
+			if at <= now {
+				delete(timers, token)
+				handle(logic.Timer{Token: token})
+			}
+		}
+		handle(logic.Request{ID: uint64(k + 1), Customer: uint64(k + 1), Units: 1, TTL: moduleTTL, Spread: moduleLimiters})
+		now += time.Second / moduleRate
+	}
+	held = heap() - before
+	runtime.KeepAlive(g)
+	if served < firms/2 {
+		return 0, errors.New("less than half of the requests were served")
+	}
+	return held, nil
+}
+
+// module measures the module's memory against firms.
+func (r *resident) module() error {
+	var memory residentPoints
+	for _, n := range r.sizes.Module {
+		v, err := moduleMemory(n)
+		if err != nil {
+			return err
+		}
+		memory.add(float64(n), v)
+		r.say("%d firms active at the module: %.1f MB of heap", n, v/1e6)
+	}
+	r.fit(memory, "limiter", "memory", "bytes", "tenants_active",
+		fmt.Sprintf("module: heap after a collection, each firm asks once within a minute, %d requests a second, %d limiters, %d servers", moduleRate, moduleLimiters, moduleServers))
+	return nil
+}
--- /dev/null
+++ b/internal/scale/resident_test.go
@@ -0,0 +1,45 @@
+package scale
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/lab"
+)
+
+// The real program, with small lists: each slope is there, from all sizes, and a longer list costs more.
+func TestResident(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts the real program a dozen times")
+	}
+	binary, err := lab.Build(t.Context(), t.TempDir())
+	require.NoError(t, err)
+	sizes := ResidentSizes{Servers: []int{100, 6_000, 12_000}, Rates: []float64{0, 100}, Firms: []int{50, 1_000}, Module: []int{1_000, 20_000},
+		Known: []int{50, 5_000}, Plays: 1, Settle: 200e6}
+	slopes, refused, err := Resident(t.Context(), binary, sizes, t.Logf)
+	require.NoError(t, err)
+	assert.Empty(t, refused)
+	count := map[string]int{}
+	for _, s := range slopes {
+		count[s.Role+" "+s.What+" "+s.Against]++
+		assert.Len(t, s.Values, len(s.Sizes))
+		if s.What == "memory" || s.What == "bytes" {
+			assert.Positive(t, s.PerUnit, "%s %s against %s", s.Role, s.What, s.Against)
+		}
+	}
+	assert.Equal(t, map[string]int{"limiter memory servers": 2, "limiter processor servers": 2, "discovery bytes servers": 1,
+		"limiter processor changes": 1, "limiter bytes changes": 1, "limiter memory tenants_active": 2, "limiter memory tenants_known": 1}, count)
+}
+
+// A list of another form is not taken: the wait has an end, and says so.
+func TestAListThatIsNotTakenIsTold(t *testing.T) {
+	d, err := newResidentList(10, 10, "10.0.0.1:1")
+	require.NoError(t, err)
+	defer d.close()
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	assert.ErrorIs(t, d.taken(ctx), context.Canceled)
+}
