The capacity check tells of broken bars and of moments that did not reach all

Seen: the rig's runs keep bars that did not hold and moments with limiters that had not heard; a page could pass over both. Excluded: refusing such figures (a lacking fleet is what the page is for).

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -140,6 +140,11 @@
 		if f.Quick && !strings.Contains(page, "Quick:") {
 			r.find(0, "the figures are of a quick run, and no line says \"Quick:\" and which")
 		}
+		for _, b := range f.Bars {
+			if !b.Holds && !strings.Contains(page, "Bar broken: "+b.Name) {
+				r.find(0, "a bar of the run does not hold, and no line says \"Bar broken: %s\"", b.Name)
+			}
+		}
 	}
 }
 
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -203,6 +203,8 @@
 		"nothing said of what carries it":    {old: "| has | a watch |", new: "| has | |", want: "nothing is said of what carries it"},
 		"partial figures, not told":          {figures: func(f *scale.Figures) { f.Partial = "stopped" }, want: `no line says "Partial: stopped"`},
 		"quick figures, not told":            {figures: func(f *scale.Figures) { f.Quick = true }, want: `no line says "Quick:"`},
+		"a broken bar, not told":             {figures: func(f *scale.Figures) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "Bar broken: all heard"`},
+		"a moment that did not reach all":    {figures: func(f *scale.Figures) { f.Moments[0].Note = "3 hollow limiters had not heard of it in time" }, want: "measured, not all reached"},
 		"another target":                     {old: "| limiters | 5,700 |", new: "| limiters | 570 |", want: "limiters is 570, which is not the target's 5700"},
 		"a target that is left out":          {old: "| zones | 5 | |\n", new: "", want: "the target has no zones"},
 		"a name twice":                       {old: "| counters | 8 |", new: "| servers | 8 |", want: "servers is named twice"},
--- a/internal/capacity/eval.go
+++ b/internal/capacity/eval.go
@@ -14,7 +14,14 @@
 	"bramblefall/internal/scale"
 )
 
-const mostSteps = 10_000 // of one formula
+const (
+	mostSteps = 10_000 // of one formula
+	exact     = 1e-9   // share of a figure under which there is no error
+	beyondAny = 1.005  // times the largest size measured: from there on it is extrapolated
+)
+
+// notReached stands in the note of a moment that limiters had not heard of when the wait for them ended.
+const notReached = "had not heard"
 
 // slopeKey names a slope.
 type slopeKey struct{ role, what, against string }
@@ -110,6 +117,7 @@
 	beyond  map[string]float64 // by what: how many times beyond the largest measured size
 	tested  bool               // something measured is in it
 	model   bool               // something of the model is in it
+	cut     bool               // a moment that did not reach all limiters is in it
 	missing []slopeKey         // named as missing, and they are
 }
 
@@ -122,11 +130,14 @@
 	if n.model {
 		words = append(words, "model")
 	}
+	if n.cut {
+		words = append(words, "not all reached")
+	}
 	if len(words) == 0 {
 		words = append(words, "assumed")
 	}
 	for _, what := range slices.Sorted(maps.Keys(n.beyond)) {
-		if factor := n.beyond[what]; number(factor) != "1" && factor > 1 {
+		if factor := n.beyond[what]; factor >= beyondAny {
 			words = append(words, "extrapolated x"+number(factor)+" ("+what+")")
 		}
 	}
@@ -151,7 +162,9 @@
 		}
 		sum += (m.value - n.value) * (m.value - n.value)
 	}
-	n.spread = math.Sqrt(sum)
+	if n.spread = math.Sqrt(sum); n.spread < exact*n.value {
+		n.spread = 0 // of a slope that is counted, not measured: the noise of its last digit
+	}
 	return n, nil
 }
 
@@ -284,7 +297,7 @@
 	if most < 0 {
 		return 0, fmt.Errorf("there is no moment %q (model: %v)", name, model)
 	}
-	n.model, n.tested = n.model || model, n.tested || !model
+	n.model, n.tested, n.cut = n.model || model, n.tested || !model, n.cut || strings.Contains(best.Note, notReached)
 	if target, ok := r.names["limiters"]; ok {
 		n.size("limiters", target, float64(best.Limiters))
 	}
@@ -333,29 +346,52 @@
 	return v, nil
 }
 
-// addedTime gives a field, in seconds, of the run with the most requests a second.
+// addedTime gives a field, in seconds, of the run with so many requests a second of each limiter, or with the most; of several
+// the largest.
 func (r *reviewer) addedTime(n *noted, args starlark.Tuple, named []starlark.Tuple) (float64, error) {
 	var field string
 	var control bool
-	if err := starlark.UnpackArgs("added", args, named, "field", &field, "control", &control); err != nil {
+	var rate float64
+	given := starlark.Value(starlark.None)
+	if err := starlark.UnpackArgs("added", args, named, "field", &field, "control", &control, "per_second?", &given); err != nil {
 		return 0, err
 	}
-	var best *scale.AddedTime
-	for k, a := range r.figures.added {
-		if a.Control == control && (best == nil || a.PerSecond > best.PerSecond) {
-			best = &r.figures.added[k]
+	if v, err := float(given); err == nil {
+		rate = v
+	} else {
+		for _, a := range r.figures.added {
+			if a.Control == control {
+				rate = max(rate, a.PerSecond)
+			}
 		}
 	}
-	if best == nil {
+	largest := -1.0
+	var best scale.AddedTime
+	for _, a := range r.figures.added {
+		if a.Control != control || !near(a.PerSecond, rate) {
+			continue
+		}
+		v, ok := map[string]float64{"p50_ms": a.P50 / 1000, "p99_ms": a.P99 / 1000, "straight_p99_ms": a.Straight / 1000, "per_second": a.PerSecond,
+			"refused": float64(a.Refused), "lost": float64(a.Lost), "served": float64(a.Requests)}[field]
+		if !ok {
+			return 0, fmt.Errorf("an added time has no %q", field)
+		}
+		if v > largest {
+			largest, best = v, a
+		}
+	}
+	if largest < 0 {
 		return 0, fmt.Errorf("there is no added time (control: %v)", control)
 	}
 	n.tested = true
 	if requests, limiters := r.names["requests"], r.names["limiters"]; limiters > 0 && best.PerSecond > 0 {
 		n.size("requests", requests/limiters, best.PerSecond)
 	}
-	v, ok := map[string]float64{"p50_ms": best.P50 / 1000, "p99_ms": best.P99 / 1000, "per_second": best.PerSecond}[field]
-	if !ok {
-		return 0, fmt.Errorf("an added time has no %q", field)
+	if best.Limiters > 0 {
+		n.size("limiters", r.names["limiters"], float64(best.Limiters))
 	}
-	return v, nil
+	if best.Servers > 0 {
+		n.size("servers", r.names["servers"], float64(best.Servers))
+	}
+	return largest, nil
 }
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -10,17 +10,22 @@
 	Partial  string       `json:"partial,omitempty"` // why the run ended before its end; "": it is whole
 	Cores    int          `json:"cores"`
 	MemoryMB int          `json:"memory_mb"` // the machine's
+	Hollow   int          `json:"hollow"`    // the most hollow limiters at once
+	Real     int          `json:"real"`      // real limiters
+	Seconds  float64      `json:"seconds"`   // that the run took
 	Slopes   []Slope      `json:"slopes"`
 	Quota    []QuotaError `json:"quota"`
 	Moments  []Moment     `json:"moments"`
 	Added    []AddedTime  `json:"added"`
+	Missing  []Missing    `json:"missing"`
+	Bars     []Bar        `json:"bars"`
 }
 
 // Slope is a straight line through what was measured at several sizes.
 type Slope struct {
-	Role      string    `json:"role"`    // limiter, counter, discovery, distribution or tools
-	What      string    `json:"what"`    // memory, processor, messages or bytes
-	Unit      string    `json:"unit"`    // bytes, seconds/s, 1/s, bytes/s
+	Role      string    `json:"role"`    // limiter, hollow (all of them together), counter, discovery, distribution or tools
+	What      string    `json:"what"`    // memory, processor, messages, bytes; list: the whole list's line
+	Unit      string    `json:"unit"`    // bytes, seconds/s, 1/s, bytes/s; /change or /look instead of /s where it is for one of these
 	Against   string    `json:"against"` // limiters, servers, services, tenants_known, tenants_active, routes, changes, requests
 	Sizes     []float64 `json:"sizes"`
 	Values    []float64 `json:"values"`
@@ -76,4 +81,24 @@
 	P50       float64 `json:"p50_ms"`
 	P99       float64 `json:"p99_ms"`
 	Requests  int     `json:"requests"`
+	Limiters  int     `json:"limiters"`        // in all, hollow ones among them
+	Servers   int     `json:"servers"`         // listed
+	Straight  float64 `json:"straight_p99_ms"` // the same measure straight to the servers: the sockets' and the machine's part
+	Refused   int     `json:"refused"`
+	Lost      int     `json:"lost"` // neither served nor refused
+}
+
+// Missing is a slope that was not measured, and why.
+type Missing struct {
+	Role    string `json:"role"`
+	What    string `json:"what"`
+	Against string `json:"against"`
+	Why     string `json:"why"`
+}
+
+// Bar is a bound on a run, and whether it held.
+type Bar struct {
+	Name  string `json:"name"`
+	Holds bool   `json:"holds"`
+	Was   string `json:"was"`
 }
--- a/internal/scale/resident.go
+++ b/internal/scale/resident.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,7 +43,7 @@
 func FullResident() ResidentSizes {
 	return ResidentSizes{Servers: []int{200, 5_700, 30_000, 57_000}, Rates: []float64{0, 10, 20, 40}, Firms: []int{1_000, 5_000, 10_000, 20_000},
 		Module: []int{10_000, 50_000, 100_000, 250_000, 510_000},
-		Known:  []int{1_000, 10_000, 50_000, 100_000}, Plays: 2, Settle: 4 * time.Second}
+		Known:  []int{1_000, 10_000, 50_000, 100_000}, Plays: 2, Settle: 3 * time.Second}
 }
 
 // QuickResident are small ones, for a test.
@@ -57,25 +58,38 @@
 	residentAsked    = 5   // limiters by the settings of the one that many firms ask: its part of the servers bears them
 	residentServing  = 500 // servers there
 	residentMemory   = 512 // MB, the cap of the limiter
-	residentPatience = 30 * time.Second
-	residentWindow   = 6 * time.Second
+	residentPatience = 20 * time.Second
+	residentWindow   = 5 * time.Second
 	residentBeat     = 2 * time.Second
 )
 
+// ResidentParts are the parts of Resident, in their order.
+var ResidentParts = []string{"lists", "wholes", "changes", "firms", "module", "known"}
+
 var errTakenNot = errors.New("the list is not taken")
 
 // Resident measures one real limiter by itself: its memory and processor time with long lists, many firms and a long plan
 // book, as the platform counts them (resident pages, all threads' time). refused tells of whole lists that the limiter did
 // not take as one line, by their number of servers. binary is its program, with its evaluator beside it.
-func Resident(ctx context.Context, binary string, sizes ResidentSizes, say func(string, ...any)) (slopes []Slope, refused []int, err error) {
+// Of the parts ResidentParts only those named are measured; none: all.
+func Resident(ctx context.Context, binary string, sizes ResidentSizes, parts []string, say func(string, ...any)) (slopes []Slope, refused []int, err error) {
 	dir, err := os.MkdirTemp("", "resident")
 	if err != nil {
 		return nil, nil, err
 	}
 	defer os.RemoveAll(dir)
 	r := &resident{ctx: ctx, binary: binary, dir: dir, sizes: sizes, say: say}
-	for _, step := range []func() error{r.lists, r.wholes, r.changes, r.firms, r.module, r.known} {
-		if err := step(); err != nil {
+	steps := map[string]func() error{"lists": r.lists, "wholes": r.wholes, "changes": r.changes, "firms": r.firms, "module": r.module, "known": r.known}
+	for _, name := range parts {
+		if steps[name] == nil {
+			return nil, nil, fmt.Errorf("no part %q, but %s", name, strings.Join(ResidentParts, ", "))
+		}
+	}
+	for _, name := range ResidentParts {
+		if len(parts) > 0 && !slices.Contains(parts, name) {
+			continue
+		}
+		if err := steps[name](); err != nil {
 			return r.slopes, r.refused, err
 		}
 	}
