capacity measure: the module's timers ring by the millisecond

Seen: 250,000 firms took over two minutes: every request walked over all timers that were set. Change: timers lie by the millisecond in which they ring; one that is set anew rings at its new time only.

--- a/internal/scale/module.go
+++ b/internal/scale/module.go
@@ -40,7 +40,7 @@
 	before := heap()
 	g := logic.New(set, 1)
 	now := time.Second
-	timers := map[uint32]time.Duration{}
+	timers, due := map[uint32]time.Duration{}, map[time.Duration][]uint32{} // by token; by the millisecond in which they ring
 	served := 0
 	var handle func(logic.Event)
 	handle = func(e logic.Event) {
@@ -52,7 +52,9 @@
 			case logic.Count:
 				handle(logic.CountResult{Name: a.Name, Total: a.Amount})
 			case logic.SetTimer:
-				timers[a.Token] = now + a.After
+				at := max(now+a.After, now+time.Millisecond).Truncate(time.Millisecond)
+				timers[a.Token] = at
+				due[at] = append(due[at], a.Token)
 			}
 		}
 	}
@@ -62,12 +64,14 @@
 	}
 	handle(list)
 	for k := range firms {
-		for token, at := range timers {
-			if at <= now {
+		at := now.Truncate(time.Millisecond)
+		for _, token := range due[at] {
+			if timers[token] == at { // it may have been set anew
 				delete(timers, token)
 				handle(logic.Timer{Token: token})
 			}
 		}
+		delete(due, at)
 		handle(logic.Request{ID: uint64(k + 1), Customer: uint64(k + 1), Units: 1, TTL: moduleTTL, Spread: moduleLimiters})
 		now += time.Second / moduleRate
 	}
