The capacity page's lines on partial, short and failing runs are written and checked as a set

Seen: a line left over from an older run would have stayed on the page, and new ones had to be copied by hand.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -119,11 +119,11 @@
 	r := &reviewer{figures: merge(from), lines: strings.Split(page, "\n"), names: values{}, roles: map[string]*coverage{},
 		used: map[usedSlope]scale.Slope{}, listed: map[usedSlope]bool{}, seen: map[string]bool{}, tally: map[string]int{}}
 	r.findings = append(r.findings, r.figures.findings...)
-	r.told(page, from)
+	r.told(from)
 	r.tables()
 	r.whole()
 	out := slices.Clone(r.lines)
-	out = r.rewriteLists(out)
+	out = rewriteNotes(r.rewriteLists(out), notes(from))
 	return Review{Findings: r.findings, Page: strings.Join(out, "\n"), Main: r.main()}
 }
 
@@ -131,21 +131,67 @@
 	r.findings = append(r.findings, Finding{line, fmt.Sprintf(format, args...)})
 }
 
-// told looks for what a page has to say of runs that were not whole.
-func (r *reviewer) told(page string, from []scale.Figures) {
+// The lines in which a page says what was not whole in its runs.
+const (
+	notePartial = "- Partial: "
+	noteQuick   = "- Quick: "
+	noteBar     = "- Bar broken: "
+)
+
+// notes are the lines that a page owes to its runs.
+func notes(from []scale.Figures) (list []string) {
 	for _, f := range from {
-		if f.Partial != "" && !strings.Contains(page, "Partial: "+f.Partial) {
-			r.find(0, "the figures are partial, and no line says \"Partial: %s\"", f.Partial)
+		if f.Partial != "" {
+			list = append(list, notePartial+oneLine(f.Partial))
 		}
-		if f.Quick && !strings.Contains(page, "Quick:") {
-			r.find(0, "the figures are of a quick run, and no line says \"Quick:\" and which")
+		if f.Quick {
+			list = append(list, noteQuick+"a short run is among the figures")
 		}
 		for _, b := range f.Bars {
-			if !b.Holds && !strings.Contains(page, "Bar broken: "+b.Name) {
-				r.find(0, "a bar of the run does not hold, and no line says \"Bar broken: %s\"", b.Name)
+			if !b.Holds {
+				list = append(list, noteBar+oneLine(b.Name+" (was "+b.Was+")"))
 			}
 		}
 	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+func oneLine(s string) string { return strings.Join(strings.Fields(s), " ") }
+
+func isNote(line string) bool {
+	return strings.HasPrefix(line, notePartial) || strings.HasPrefix(line, noteQuick) || strings.HasPrefix(line, noteBar)
+}
+
+// told compares what a page says of runs that were not whole.
+func (r *reviewer) told(from []scale.Figures) {
+	owed := notes(from)
+	for _, n := range owed {
+		if !slices.Contains(r.lines, n) {
+			r.find(0, "a run was not whole, and no line says %q", n)
+		}
+	}
+	for n, line := range r.lines {
+		if isNote(line) && !slices.Contains(owed, line) {
+			r.find(n+1, "no run of the figures says so")
+		}
+	}
+}
+
+// rewriteNotes puts the lines that are owed where the first of them stands, or under the line that names the figures.
+func rewriteNotes(lines, owed []string) []string {
+	at := slices.IndexFunc(lines, isNote)
+	if at < 0 && len(owed) > 0 {
+		if at = slices.IndexFunc(lines, func(l string) bool { return strings.HasPrefix(l, "Figures: ") }); at >= 0 {
+			lines = slices.Insert(slices.Clone(lines), at+1, "")
+			at += 2
+		}
+	}
+	if at < 0 {
+		return lines
+	}
+	kept := slices.DeleteFunc(slices.Clone(lines), isNote)
+	return slices.Insert(kept, min(at, len(kept)), owed...)
 }
 
 // tables reads each table by its head.
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -201,10 +201,11 @@
 			f.Slopes = append(f.Slopes, scale.Slope{Role: "limiter", What: "processor", Against: "routes", Sizes: []float64{1, 2}, Values: []float64{1, 2}, PerUnit: 1})
 		}, want: "is named as missing, and it is there"},
 		"nothing said of what carries it":    {old: "| has | a watch |", new: "| has | |", want: "nothing is said of what carries it"},
-		"partial figures, not told":          {figures: func(f *scale.Figures) { f.Partial = "stopped" }, want: `no line says "Partial: stopped"`},
-		"quick figures, not told":            {figures: func(f *scale.Figures) { f.Quick = true }, want: `no line says "Quick:"`},
-		"a broken bar, not told":             {figures: func(f *scale.Figures) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "Bar broken: all heard"`},
+		"partial figures, not told":          {figures: func(f *scale.Figures) { f.Partial = "stopped" }, want: `no line says "- Partial: stopped"`},
+		"quick figures, not told":            {figures: func(f *scale.Figures) { f.Quick = true }, want: `no line says "- Quick:`},
+		"a broken bar, not told":             {figures: func(f *scale.Figures) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "- Bar broken: all heard (was no)"`},
 		"a moment that did not reach all":    {figures: func(f *scale.Figures) { f.Moments[0].Note = "3 hollow limiters had not heard of it in time" }, want: "measured, not all reached"},
+		"told as partial, and is not":        {old: "## Target", new: "- Partial: stopped\n\n## Target", want: "no run of the figures says so"},
 		"another target":                     {old: "| limiters | 5,700 |", new: "| limiters | 570 |", want: "limiters is 570, which is not the target's 5700"},
 		"a target that is left out":          {old: "| zones | 5 | |\n", new: "", want: "the target has no zones"},
 		"a name twice":                       {old: "| counters | 8 |", new: "| servers | 8 |", want: "servers is named twice"},
@@ -252,7 +253,11 @@
 	assert.Empty(t, Check(page, one, other).Findings)
 	assert.NotEmpty(t, Check(page, one).Findings)
 	other.Partial = "stopped by hand"
-	assert.Empty(t, Check(page+"\nPartial: stopped by hand\n", one, other).Findings)
+	other.Bars = []scale.Bar{{Name: "all heard", Was: "3"}, {Name: "all ran", Holds: true}}
+	told := Check(page, one, other).Page
+	assert.Contains(t, told, "`b/c.json`\n\n- Bar broken: all heard (was 3)\n- Partial: stopped by hand\n\n## Target")
+	assert.Empty(t, Check(told, one, other).Findings)
+	assert.Equal(t, told, Check(told, one, other).Page)
 }
 
 func TestOfSeveralSlopesOneIsNamed(t *testing.T) {
--- a/internal/scale/module.go
+++ b/internal/scale/module.go
@@ -87,6 +87,9 @@
 func (r *resident) module() error {
 	var memory residentPoints
 	for _, n := range r.sizes.Module {
+		if err := r.ctx.Err(); err != nil {
+			return err
+		}
 		v, err := moduleMemory(n)
 		if err != nil {
 			return err
