--- /dev/null
+++ b/cmd/bramblelab/capacity.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bramblefall/internal/capacity"
+	"bramblefall/internal/lab"
+	"bramblefall/internal/scale"
+)
+
+// errPage says that a page does not follow from its figures.
+var errPage = errors.New("things do not follow")
+
+// capacityCommand checks the page of capacity, or rewrites what follows on it.
+func capacityCommand() *cobra.Command {
+	page, write := filepath.Join("docs", "CAPACITY.md"), false
+	var from []string
+	c := &cobra.Command{Use: "capacity", Args: cobra.NoArgs,
+		Short: "Check the capacity page against measured figures; exit 0 only where all of it follows",
+		Long: "Check that each figure, extrapolation, budget and verdict of the capacity page follows from the figures in the files " +
+			"(several are merged), the target and the page's assumptions. Without --from the files are those that the page names on " +
+			"its line \"Figures:\". The last line is the main figure: the largest missing factor, and its row.",
+		RunE: func(c *cobra.Command, _ []string) error {
+			text, err := os.ReadFile(page)
+			if err != nil {
+				return err
+			}
+			if len(from) == 0 {
+				from = capacity.Sources(string(text))
+			}
+			if len(from) == 0 {
+				return fmt.Errorf("%s names no files on a line \"Figures:\", and --from is not given", page)
+			}
+			figures, err := readFigures(from)
+			if err != nil {
+				return err
+			}
+			review := capacity.Check(string(text), figures...)
+			if write && review.Page != string(text) {
+				if err := os.WriteFile(page, []byte(review.Page), 0o644); err != nil {
+					return err
+				}
+				review = capacity.Check(review.Page, figures...)
+			}
+			for _, f := range review.Findings {
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", page, f)
+			}
+			fmt.Fprintln(c.OutOrStdout(), review.Main)
+			if n := len(review.Findings); n > 0 {
+				return fmt.Errorf("%d %w", n, errPage)
+			}
+			return nil
+		}}
+	c.Flags().StringSliceVar(&from, "from", nil, "files of figures, such as the scale rig keeps; by default those that the page names")
+	c.Flags().StringVar(&page, "page", page, "the page")
+	c.Flags().BoolVar(&write, "write", false, "rewrite figures, verdicts and lists of the page, then check it")
+	c.AddCommand(measureCommand())
+	return c
+}
+
+// measureCommand measures one real limiter by itself, beside what the scale rig measures.
+func measureCommand() *cobra.Command {
+	o := &common{}
+	var out string
+	var parts []string
+	c := &cobra.Command{Use: "measure", Args: cobra.NoArgs, Short: "Measure one real limiter with long lists, many firms and a long plan book (about 6 minutes)",
+		RunE: func(c *cobra.Command, _ []string) error {
+			dir, err := os.MkdirTemp("", "bramblelab")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			binary := o.binary
+			if binary == "" {
+				o.say(c, "building the limiter")
+				if binary, err = lab.Build(c.Context(), dir); err != nil {
+					return err
+				}
+			}
+			sizes := scale.FullResident()
+			if o.quick {
+				sizes = scale.QuickResident()
+			}
+			slopes, refused, err := scale.Resident(c.Context(), binary, sizes, parts, func(format string, args ...any) { o.say(c, format, args...) })
+			f := scale.Figures{Version: 1, Quick: o.quick, Slopes: slopes, Quota: []scale.QuotaError{}, Moments: []scale.Moment{}, Added: []scale.AddedTime{}}
+			f.Cores, f.MemoryMB = scale.Machine()
+			if err != nil {
+				f.Partial = err.Error()
+			}
+			raw, _ := json.MarshalIndent(f, "", "  ")
+			if err := errors.Join(os.WriteFile(out, append(raw, '\n'), 0o644), err); err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "%d slopes; whole lists not taken as one line, by servers: %v\n", len(slopes), refused)
+			return nil
+		}}
+	o.began = time.Now()
+	c.Flags().StringVar(&out, "out", "resident.json", "the file for the figures")
+	c.Flags().StringSliceVar(&parts, "only", nil, "of the parts "+strings.Join(scale.ResidentParts, ", ")+" only these")
+	c.Flags().BoolVar(&o.quick, "quick", false, "small sizes, under a minute: a trial")
+	c.Flags().StringVar(&o.binary, "binary", "", "the limiter's program, its evaluator beside it; by default it is built from here")
+	return c
+}
+
+func readFigures(files []string) (all []scale.Figures, err error) {
+	for _, name := range files {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		var f scale.Figures
+		if err := json.Unmarshal(raw, &f); err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, f)
+	}
+	return all, nil
+}
