Bound a list by what is kept of it and by each value, not by the length of its line

A list of 57,000 servers in one line of 7.2 MB was taken without a word, and an endless list of small entries had no bound; had it bound, 57,000 servers would have been refused.

Cause: body.Read returned errLong beside the bytes it had read. encoding/json's decoder looks at an error only when the bytes it came with end no value (Decoder.readValue, peek), so that small entries hid it for good. Excluded: the transport (it hands on the same bytes) and the reset of the count at a line's end (there is none in such a line).

Change: next and entries refuse more than 262,144 servers (4.6 times the need), 32 MB of their text, 64 keys; body hands on at most 4 KB of which the decoder has made nothing (InputOffset), and its error comes alone. That bounds an entry, another key's value, a number, nesting, blanks; body itself bounds the blanks beside lists, the transport an answer's head (64 KB). Changes add no more than a list may hold. A refusal is a line of the log, the list known stays but for drains of known servers, which were told; the next ask comes after 0.5 to 2.5 s (at once it cost the same reading again, some milliseconds apart in a small fleet). Unknown states and older words are one line a list, not one a server.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -160,7 +161,12 @@
 				believed, others := f.heard(x.watch)
 				drop(others...)
 				if believed && x.list != nil {
-					c.take(*x.list, false)
+					if err := c.take(*x.list, false); err != nil {
+						due = f.refused(time.Since(began), x.watch)
+						drop(x.watch)
+						slog.Warn("a change of discovery's list is left out", "err", err)
+						break
+					}
 				}
 				if believed {
 					c.hear()
@@ -172,12 +178,19 @@
 				}
 				drop(other)
 			case over:
-				due = f.ended(time.Since(began), x.watch, x.mid)
+				useless := errors.Is(x.err, errRefused)
+				if useless {
+					due = f.refused(time.Since(began), x.watch)
+					c.onlyKnown(x.list)
+					slog.Warn("the watch of discovery ended", "err", x.err)
+				} else {
+					due = f.ended(time.Since(began), x.watch, x.mid)
+				}
 				drop(x.watch)
 				if x.list != nil {
 					c.salvage(*x.list)
 				}
-				if quiet++; ctx.Err() == nil && time.Since(told) >= logEvery {
+				if quiet++; !useless && ctx.Err() == nil && time.Since(told) >= logEvery {
 					slog.Info("the watch of discovery ended", "err", x.err, "times", quiet)
 					told, quiet = time.Now(), 0
 				}
@@ -192,11 +205,22 @@
 var states = map[string]logic.ServerState{"ready": logic.Ready, "draining": logic.Draining, "gone": logic.Gone}
 
 // take passes on a list. A server whose state cannot be read is taken for draining: it gets nothing new.
-func (c *Client) take(l List, cached bool) {
+func (c *Client) take(l List, cached bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !l.Full && l.Version < c.version.Load() {
-		return // an older change than what is known
+	if !l.Full {
+		if l.Version < c.version.Load() {
+			return nil // an older change than what is known
+		}
+		more := 0
+		for _, s := range l.Servers {
+			if _, ok := c.listed[s.ID]; !ok && states[s.State] != logic.Gone {
+				more++
+			}
+		}
+		if more > 0 && len(c.listed)+more > mostServers {
+			return refused("more than %d servers with the changes", mostServers)
+		}
 	}
 	c.version.Store(l.Version)
 	before := c.listed
@@ -212,6 +236,7 @@
 			}
 		}
 	}
+	return nil
 }
 
 // salvage takes from a line that broke off what must not wait for the next watch: discovery has told of these drains.
@@ -226,10 +251,22 @@
 	}
 }
 
+// onlyKnown leaves those servers of a list that others have named. Guards against a list that is refused again and again, each
+// time with other names: names are kept for good.
+func (c *Client) onlyKnown(l *List) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.Servers = slices.DeleteFunc(l.Servers, func(s Server) bool {
+		_, known := c.ids[s.ID]
+		return !known
+	})
+}
+
 // pass hands entries on. The addresses learn of them first: from then on nothing new leaves for a server that drains,
 // whatever was chosen before.
 func (c *Client) pass(l List, cached bool) {
 	out := logic.ServerList{Whole: l.Full, Cached: cached}
+	var unknown, older said
 	for _, s := range l.Servers {
 		id, ok := c.ids[s.ID]
 		if !ok {
@@ -238,13 +275,14 @@
 		}
 		state, ok := states[s.State]
 		if !ok {
-			slog.Warn("unknown state of a server", "id", s.ID, "state", s.State)
+			unknown.note(s)
 			state = logic.Draining
 		}
 		switch {
 		case state != logic.Ready:
 			c.drains[s.ID] = drain{max(l.Version, c.drains[s.ID].version), s.StartedMS, time.Now()}
 		case c.stays(s, l.Version):
+			older.note(s)
 			state = logic.Draining
 		default:
 			delete(c.drains, s.ID)
@@ -264,6 +302,13 @@
 		}
 		out.Servers = append(out.Servers, e)
 	}
+	if unknown.times > 0 {
+		slog.Warn("unknown state of a server", "id", unknown.first.ID, "state", unknown.first.State, "servers", unknown.times)
+	}
+	if older.times > 0 {
+		slog.Info("an older list says ready of a server that takes nothing new", "id", older.first.ID, "version", l.Version,
+			"told", c.drains[older.first.ID].version, "servers", older.times)
+	}
 	for id, was := range c.drains {
 		if time.Since(was.at) > remembered {
 			delete(c.drains, id)
@@ -283,6 +328,17 @@
 	if was.started != anyStart && was.started != s.StartedMS {
 		return false // it has started anew
 	}
-	slog.Info("an older list says ready of a server that takes nothing new", "id", s.ID, "version", version, "told", was.version)
 	return true
 }
+
+// said is what the log says of some servers of a list, in one line for all. Guards against as many lines as a list has servers.
+type said struct {
+	first Server
+	times int
+}
+
+func (s *said) note(of Server) {
+	if s.times++; s.times == 1 {
+		s.first = of
+	}
+}
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -16,6 +16,7 @@
 	fleetAsks   = 20.0 // a second, a third more by the jitter: of all limiters together while discovery refuses
 	mostRetry   = 4 * time.Second
 	lastRetry   = 2 * time.Second // a watch that lived for longer had stood
+	refusal     = 2 * time.Second // between two asks for a list that is refused, a quarter more by the jitter
 	mostHead    = time.Second
 	leastStuck  = 50 * time.Millisecond
 	usualGrace  = 500 * time.Millisecond // where the settings name none
@@ -61,6 +62,7 @@
 	silent  bool          // the last that was left had brought nothing and had not ended
 	lines   bool          // live has brought one
 	some    bool          // the last that ended had brought something
+	useless bool          // a list that is refused
 	began   time.Duration // live
 	tries   int           // in a row that came to little
 }
@@ -127,26 +129,37 @@
 	return false
 }
 
+// refused takes note of a watch whose list is refused, and is left for it.
+func (f *follower) refused(now time.Duration, watch int) (due bool) {
+	due = f.ended(now, watch, true)
+	f.useless = due
+	return due
+}
+
 func (f *follower) leave(now time.Duration, mid bool) {
 	f.some = f.lines || mid
 	if f.tries++; f.lines && now-f.began > lastRetry {
 		f.tries = 0
 	}
-	f.live, f.lines, f.silent = 0, false, false
+	f.live, f.lines, f.silent, f.useless = 0, false, false, false
 }
 
 // pause is the wait before the next ask; luck is from 0 to 1. Guards against all limiters of a fleet asking in step, and
 // so often that discovery answers nobody. It is short where a watch had stood or had begun to tell something: what a
 // limiter would have been told had it asked binds it (drains). An agent that says nothing is asked again soon in a fleet of
-// any size: it is this machine's alone, and answers at no cost.
+// any size: it is this machine's alone, and answers at no cost. A list that is refused comes again as it was, and is dear to read.
 func (f *follower) pause(luck float64) time.Duration {
 	if f.silent {
 		return time.Duration(luck * again * float64(f.grace))
 	}
-	if f.tries == 0 {
+	if f.tries == 0 && !f.useless {
 		return time.Duration(luck * graceSpread * float64(f.grace) * min(1, float64(f.fleet)/fleetAsks))
 	}
-	wait := (0.25 + luck) * float64(f.share())
+	share := f.share()
+	if f.useless {
+		return time.Duration((0.25 + luck) * float64(max(share, refusal)))
+	}
+	wait := (0.25 + luck) * float64(share)
 	if f.some {
 		wait *= brought
 	}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -31,6 +31,21 @@
 	over              // the connection has ended
 )
 
+// What one list may hold. The need is 57,000 servers, of 127 bytes each in a line and 180 indented. There is room for 4.6 times
+// as many and for entries 32 times as large. Guards against a list, or something else, that never ends: it is refused, and the
+// servers known stay.
+const (
+	mostServers = 1 << 18  // of one list, and of all changes to it
+	mostText    = 32 << 20 // their names, addresses and words; 57,000 of the usual ones have 2 MB
+	mostEntry   = 4 << 10  // in bytes, with what stands before it; so may any other key's value be, or blanks
+	mostKeys    = 64       // of the list itself: it has three
+	mostHeader  = 64 << 10 // of the answer
+)
+
+var errRefused = errors.New("discovery's list is refused")
+
+func refused(text string, most int) error { return fmt.Errorf("%w: "+text, errRefused, most) }
+
 // watch reads one watch until it ends or here does. Words are said as long as the address is followed.
 func (c *Client) watch(here, followed context.Context, n int, url string, words chan<- word) {
 	say := func(w word) {
@@ -54,7 +69,8 @@
 	if err != nil {
 		return nil, err
 	}
-	answer, err := (&http.Transport{DialContext: p.dial, DisableKeepAlives: true, DisableCompression: true}).RoundTrip(req)
+	answer, err := (&http.Transport{DialContext: p.dial, DisableKeepAlives: true, DisableCompression: true,
+		MaxResponseHeaderBytes: mostHeader}).RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
@@ -62,7 +78,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery answers %s", answer.Status)
 	}
-	in := json.NewDecoder(&body{from: answer.Body, pulse: p, empty: func() { take(nil) }})
+	in := decoder(&body{from: answer.Body, pulse: p, empty: func() { take(nil) }})
 	for {
 		l, err := next(in)
 		if err != nil {
@@ -72,16 +88,25 @@
 	}
 }
 
+func decoder(r *body) *json.Decoder {
+	in := json.NewDecoder(r)
+	r.used = in.InputOffset
+	return in
+}
+
 // next reads one list, entry by entry: what came before it broke off is not lost.
 func next(in *json.Decoder) (l List, err error) {
 	if err = open(in, '{'); err != nil {
 		return l, err
 	}
-	for in.More() {
+	for keys := 0; in.More(); keys++ {
 		key, err := in.Token()
 		if err != nil {
 			return l, cut(err)
 		}
+		if keys == mostKeys {
+			return l, refused("more than %d keys", mostKeys)
+		}
 		switch key {
 		case "version":
 			err = in.Decode(&l.Version)
@@ -105,11 +130,18 @@
 	if err := open(in, '['); err != nil {
 		return cut(err)
 	}
-	for in.More() {
+	for text := 0; in.More(); {
 		var s Server
 		if err := in.Decode(&s); err != nil {
 			return cut(err)
 		}
+		text += len(s.ID) + len(s.Addr) + len(s.Zone) + len(s.Kind) + len(s.State)
+		if len(l.Servers) == mostServers {
+			return refused("more than %d servers", mostServers)
+		}
+		if text > mostText {
+			return refused("its servers have more than %d bytes of text", mostText)
+		}
 		l.Servers = append(l.Servers, s)
 	}
 	_, err := in.Token()
@@ -189,6 +221,7 @@
 	from  io.Reader
 	pulse *pulse
 	empty func()
+	used  func() int64 // bytes of what was handed on of which the decoder has made something
 
 	buf  [4 << 10]byte
 	left []byte // of buf: what is not handed on yet
@@ -199,6 +232,8 @@
 	text   bool // a string is
 	escape bool // and its next byte ends nothing
 	words  bool // something stands on this line
+	blanks int  // on this line, beside lists
+	handed int64
 }
 
 func (r *body) Read(b []byte) (int, error) {
@@ -207,7 +242,11 @@
 		case len(r.left) > 0 && !r.list:
 			r.between()
 		case len(r.left) > 0:
-			return r.hand(b), nil
+			room := mostEntry - (r.handed - r.used())
+			if room > 0 {
+				return r.hand(b[:min(int64(len(b)), room)]), nil
+			}
+			r.left, r.err = nil, refused("a value of more than %d bytes", mostEntry)
 		case r.err != nil:
 			return 0, r.err // alone: json's decoder drops an error beside bytes that end a value
 		default:
@@ -230,8 +269,12 @@
 		switch c := r.left[0]; c {
 		case '\n':
 			empty = empty || !r.words
-			r.words = false
+			r.words, r.blanks = false, 0
 		case ' ', '\t', '\r':
+			if r.blanks++; r.blanks > mostEntry {
+				r.left, r.err = nil, refused("more than %d blanks where a list belongs", mostEntry)
+				return
+			}
 		case '{':
 			r.list, r.words = true, true
 			return
@@ -265,5 +308,6 @@
 	}
 	copy(b, r.left[:n])
 	r.left = r.left[n:]
+	r.handed += int64(n)
 	return n
 }
