--- a/internal/scale/module.go
+++ b/internal/scale/module.go
@@ -84,7 +84,7 @@
 }
 
 // module measures the module's memory against firms.
-func (r *resident) module() error {
+func (r *alone) module() error {
 	var memory residentPoints
 	for _, n := range r.sizes.Module {
 		if err := r.ctx.Err(); err != nil {
--- a/internal/scale/resident.go
+++ b/internal/scale/resident.go
@@ -78,7 +78,7 @@
 		return nil, nil, err
 	}
 	defer os.RemoveAll(dir)
-	r := &resident{ctx: ctx, binary: binary, dir: dir, sizes: sizes, say: say}
+	r := &alone{ctx: ctx, binary: binary, dir: dir, sizes: sizes, say: say}
 	steps := map[string]func() error{"lists": r.lists, "wholes": r.wholes, "changes": r.changes, "firms": r.firms, "module": r.module, "known": r.known}
 	for _, name := range parts {
 		if steps[name] == nil {
@@ -104,7 +104,7 @@
 	return runtime.NumCPU(), kb >> 10
 }
 
-type resident struct {
+type alone struct {
 	ctx     context.Context
 	binary  string
 	dir     string
@@ -122,7 +122,7 @@
 	p.sizes, p.values = append(p.sizes, size), append(p.values, value)
 }
 
-func (r *resident) fit(p residentPoints, role, what, unit, against, held string) {
+func (r *alone) fit(p residentPoints, role, what, unit, against, held string) {
 	s := Slope{Role: role, What: what, Unit: unit, Against: against, Sizes: p.sizes, Values: p.values, Held: held}
 	n := float64(len(p.sizes))
 	var mx, my, xy, spread, rest float64
@@ -146,7 +146,7 @@
 }
 
 // start starts a limiter that follows a list.
-func (r *resident) start(d *residentList, fleet int, counter, script string) (*standin.Limiter, error) {
+func (r *alone) start(d *residentList, fleet int, counter, script string) (*standin.Limiter, error) {
 	if err := r.ctx.Err(); err != nil {
 		return nil, err
 	}
@@ -170,10 +170,10 @@
 }
 
 // window is how long a rate is measured.
-func (r *resident) window() time.Duration { return min(residentWindow, 10*r.sizes.Settle) }
+func (r *alone) window() time.Duration { return min(residentWindow, 10*r.sizes.Settle) }
 
 // lists brings limiters to lists that come in parts.
-func (r *resident) lists() error {
+func (r *alone) lists() error {
 	var memory, idle residentPoints
 	for range r.sizes.Plays {
 		for _, n := range r.sizes.Servers {
@@ -197,7 +197,7 @@
 }
 
 // wholes starts limiters to which the whole list is told as one line.
-func (r *resident) wholes() error {
+func (r *alone) wholes() error {
 	var processor, bytes, peak residentPoints
 	for range r.sizes.Plays {
 		for _, n := range r.sizes.Servers {
@@ -229,7 +229,7 @@
 }
 
 // changes tells changes of one server each, of the longest list.
-func (r *resident) changes() error {
+func (r *alone) changes() error {
 	n := r.sizes.Servers[len(r.sizes.Servers)-1]
 	var processor, bytes residentPoints
 	for range r.sizes.Plays {
@@ -259,7 +259,7 @@
 }
 
 // withList starts a limiter, waits until it has the list and does something with it.
-func (r *resident) withList(n, part int, do func(*residentList, *standin.Limiter) error) error {
+func (r *alone) withList(n, part int, do func(*residentList, *standin.Limiter) error) error {
 	d, err := newResidentList(n, part, "10.0.0.1:6379")
 	if err != nil {
 		return err
@@ -283,7 +283,7 @@
 }
 
 // firms has many firms ask once within a minute, of a limiter with a few servers that answer.
-func (r *resident) firms() error {
+func (r *alone) firms() error {
 	var memory residentPoints
 	for _, n := range r.sizes.Firms {
 		if err := r.withFirms(n, &memory); err != nil {
@@ -295,7 +295,7 @@
 	return nil
 }
 
-func (r *resident) withFirms(n int, memory *residentPoints) error {
+func (r *alone) withFirms(n int, memory *residentPoints) error {
 	servers, err := residentServers()
 	if err != nil {
 		return err
@@ -342,7 +342,7 @@
 }
 
 // known has the plan book name firms.
-func (r *resident) known() error {
+func (r *alone) known() error {
 	var memory residentPoints
 	for range r.sizes.Plays {
 		for _, n := range r.sizes.Known {
