--- a/cmd/bramblelab/capacity.go
+++ b/cmd/bramblelab/capacity.go
@@ -110,14 +110,14 @@
 	return c
 }
 
-func readFigures(files []string) (all []scale.Figures, err error) {
+func readFigures(files []string) (all []capacity.File, err error) {
 	for _, name := range files {
 		raw, err := os.ReadFile(name)
 		if err != nil {
 			return nil, err
 		}
-		var f scale.Figures
-		if err := json.Unmarshal(raw, &f); err != nil {
+		f := capacity.File{Name: name}
+		if err := json.Unmarshal(raw, &f.Figures); err != nil {
 			return nil, fmt.Errorf("%s: %w", name, err)
 		}
 		all = append(all, f)
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -114,8 +114,14 @@
 	identifier = regexp.MustCompile("^[a-z][a-z0-9_]*$")
 )
 
-// Check reviews a page. Figures of several files are merged.
-func Check(page string, from ...scale.Figures) Review {
+// File is a file of figures.
+type File struct {
+	Name string
+	scale.Figures
+}
+
+// Check reviews a page. The figures of several files are merged.
+func Check(page string, from ...File) Review {
 	r := &reviewer{figures: merge(from), lines: strings.Split(page, "\n"), names: values{}, roles: map[string]*coverage{},
 		used: map[usedSlope]scale.Slope{}, listed: map[usedSlope]bool{}, seen: map[string]bool{}, tally: map[string]int{}}
 	r.findings = append(r.findings, r.figures.findings...)
@@ -139,7 +145,7 @@
 )
 
 // notes are the lines that a page owes to its runs.
-func notes(from []scale.Figures) (list []string) {
+func notes(from []File) (list []string) {
 	for _, f := range from {
 		if f.Partial != "" {
 			list = append(list, notePartial+oneLine(f.Partial))
@@ -164,7 +170,7 @@
 }
 
 // told compares what a page says of runs that were not whole.
-func (r *reviewer) told(from []scale.Figures) {
+func (r *reviewer) told(from []File) {
 	owed := notes(from)
 	for _, n := range owed {
 		if !slices.Contains(r.lines, n) {
@@ -333,8 +339,9 @@
 		for k, follows := range slopeCells(s) {
 			r.want(x, 3+k, strings.Split(headSlopes, " | ")[3+k], follows)
 		}
-		if x.cells[8] == "" {
-			r.find(x.line, "no command, journal or file is named for the slope")
+		if file := r.files[keyOf(s)]; !strings.Contains(x.cells[8], file) {
+			r.find(x.line, "the source %q does not name the slope's file %s", x.cells[8], file)
+			x.cells[8] = file
 		}
 		r.put(x)
 	}
@@ -528,7 +535,7 @@
 		if !r.listed[key] {
 			r.find(0, "the slope %s is used, and the table of slopes does not list it", key)
 			unlisted = append(unlisted, "| "+strings.Join(append([]string{key.role, key.what, key.against},
-				append(slopeCells(r.used[key]), "")...), " | ")+" |")
+				append(slopeCells(r.used[key]), r.files[key])...), " | ")+" |")
 		}
 	}
 	if r.slopesAt == 0 {
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -11,8 +11,8 @@
 )
 
 // figuresOfATest are small and made by hand; no run gave them.
-func figuresOfATest() scale.Figures {
-	return scale.Figures{Version: 1, Cores: 4, MemoryMB: 8000,
+func figuresOfATest() File {
+	return File{"some/where/a.json", scale.Figures{Version: 1, Cores: 4, MemoryMB: 8000,
 		Slopes: []scale.Slope{
 			{Role: "limiter", What: "memory", Unit: "bytes", Against: "servers", Sizes: []float64{1000, 5000}, Values: []float64{11e6, 15e6},
 				Intercept: 10e6, PerUnit: 1000, Error: 10, Held: "no tenants"},
@@ -22,7 +22,7 @@
 		Quota:   []scale.QuotaError{{Plan: "all", Limiters: 570, Counters: 1, Beyond: 0.07, CallsPerRequest: 0.05, Seeds: 3}},
 		Moments: []scale.Moment{{Name: "change", Limiters: 285, Servers: 57000, P99: 0.4, Last: 0.6, Messages: 285, Bytes: 36195}},
 		Added:   []scale.AddedTime{{PerSecond: 100, Control: true, P50: 0.5, P99: 1.5, Requests: 9000}},
-	}
+	}}
 }
 
 // pageOfATest is written as a person would, with figures yet to be filled in.
@@ -117,6 +117,7 @@
 	t.Helper()
 	page := Check(strings.ReplaceAll(pageOfATest, "OTHER", otherRows), figuresOfATest()).Page
 	page = strings.ReplaceAll(page, " |  |\n", " | a run |\n")
+	page = strings.ReplaceAll(page, " | a.json |\n", " | a run, a.json |\n")
 	review := Check(page, figuresOfATest())
 	require.Empty(t, review.Findings)
 	require.Equal(t, page, review.Page, "what is written stays")
@@ -127,7 +128,7 @@
 	page := written(t)
 	for _, line := range []string{
 		"| share | 63.2 /s | `requests / limiters` | even |",
-		"| limiter | memory | servers | 1e+03 bytes | 10 | 1e+07 | 1,000; 5,000 | no tenants | a run |",
+		"| limiter | memory | servers | 1e+03 bytes | 10 | 1e+07 | 1,000; 5,000 | no tenants | a run, a.json |",
 		"| 67 ± 0.54 MB | measured, extrapolated x11.4 (servers) | 32 MB `control_memory` | lacks x2.09 | the list |",
 		"| `servers * 2` | 114,000 entries | assumed | — | — | the list |",
 		"| 127 B | measured, extrapolated x20 (limiters) | 69 KB `control_bytes * in_force` | has | a watch |",
@@ -150,27 +151,27 @@
 func TestPlantedErrorsAreFound(t *testing.T) {
 	for name, x := range map[string]struct {
 		old, new string
-		figures  func(*scale.Figures)
+		figures  func(*File)
 		want     string
 	}{
 		"a figure that does not follow": {old: "| 67 ± 0.54 MB", new: "| 66 ± 0.54 MB", want: `the figure is "66 ± 0.54 MB", and "67 ± 0.54 MB" follows`},
 		"a figure rounded away":         {old: "| 67 ± 0.54 MB", new: "| 0 GB", want: `the figure is "0 GB"`},
 		"another error":                 {old: "| 67 ± 0.54 MB", new: "| 67 ± 0.05 MB", want: `the figure is`},
-		"a new slope": {figures: func(f *scale.Figures) {
+		"a new slope": {figures: func(f *File) {
 			f.Slopes[0].Values[1] = 16e6
 			f.Slopes[0].PerUnit = 1250
 			f.Slopes[0].Intercept = 9.75e6
 		}, want: "the figure is"},
-		"a slope that is not its sizes'":           {figures: func(f *scale.Figures) { f.Slopes[0].PerUnit = 900 }, want: "its sizes and values give"},
-		"a slope without sizes":                    {figures: func(f *scale.Figures) { f.Slopes[0].Values = nil }, want: "2 sizes and 0 values"},
-		"figures of another form":                  {figures: func(f *scale.Figures) { f.Version = 2 }, want: "version 2"},
+		"a slope that is not its sizes'":           {figures: func(f *File) { f.Slopes[0].PerUnit = 900 }, want: "its sizes and values give"},
+		"a slope without sizes":                    {figures: func(f *File) { f.Slopes[0].Values = nil }, want: "2 sizes and 0 values"},
+		"figures of another form":                  {figures: func(f *File) { f.Version = 2 }, want: "version 2"},
 		"a slope that is not there":                {old: `slope("counter", "messages"`, new: `slope("counter", "bytes"`, want: "there is no slope counter bytes against requests"},
-		"two slopes of a name":                     {figures: func(f *scale.Figures) { f.Slopes = append(f.Slopes, f.Slopes[0]) }, want: "say which by held="},
+		"two slopes of a name":                     {figures: func(f *File) { f.Slopes = append(f.Slopes, f.Slopes[0]) }, want: "say which by held="},
 		"a name that is not there":                 {old: "`share` |", new: "`sharing` |", want: "sharing"},
 		"a moment that is not there":               {old: `moment("change", "bytes")`, new: `moment("zone", "bytes")`, want: `there is no moment "zone"`},
 		"a field of a moment that is not":          {old: `moment("change", "bytes")`, new: `moment("change", "worth")`, want: `the moment "change" has no "worth"`},
 		"a run of the model that is not there":     {old: "limiters=570", new: "limiters=5700", want: "0 runs of the model"},
-		"an added time that is not there":          {figures: func(f *scale.Figures) { f.Added = nil }, want: "no added time"},
+		"an added time that is not there":          {figures: func(f *File) { f.Added = nil }, want: "no added time"},
 		"a formula without a figure":               {old: "| 67 ± 0.54 MB", new: "|", want: "a formula without a figure"},
 		"a figure still to be written":             {old: "| 67 ± 0.54 MB", new: "| ? MB", want: `the figure is "? MB"`},
 		"a figure in no known unit":                {old: "| 67 ± 0.54 MB", new: "| 67 ± 0.54 Mb", want: "in no unit that is known"},
@@ -197,14 +198,14 @@
 		"an extrapolation that is not told":        {old: "measured, extrapolated x11.4 (servers)", new: "measured", want: "where it is from is"},
 		"the model taken for a measurement":        {old: "| model,", new: "| measured,", want: "where it is from is"},
 		"a missing slope with a figure":            {old: "| missing | missing | — | missing |", new: "| 3 % | measured | — | has |", want: `figure is "3 %", and "missing" follows`},
-		"a missing slope that is there": {figures: func(f *scale.Figures) {
+		"a missing slope that is there": {figures: func(f *File) {
 			f.Slopes = append(f.Slopes, scale.Slope{Role: "limiter", What: "processor", Against: "routes", Sizes: []float64{1, 2}, Values: []float64{1, 2}, PerUnit: 1})
 		}, want: "is named as missing, and it is there"},
 		"nothing said of what carries it":    {old: "| has | a watch |", new: "| has | |", want: "nothing is said of what carries it"},
-		"partial figures, not told":          {figures: func(f *scale.Figures) { f.Partial = "stopped" }, want: `no line says "- Partial: stopped"`},
-		"quick figures, not told":            {figures: func(f *scale.Figures) { f.Quick = true }, want: `no line says "- Quick:`},
-		"a broken bar, not told":             {figures: func(f *scale.Figures) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "- Bar broken: all heard (was no)"`},
-		"a moment that did not reach all":    {figures: func(f *scale.Figures) { f.Moments[0].Note = "3 hollow limiters had not heard of it in time" }, want: "measured, not all reached"},
+		"partial figures, not told":          {figures: func(f *File) { f.Partial = "stopped" }, want: `no line says "- Partial: stopped"`},
+		"quick figures, not told":            {figures: func(f *File) { f.Quick = true }, want: `no line says "- Quick:`},
+		"a broken bar, not told":             {figures: func(f *File) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "- Bar broken: all heard (was no)"`},
+		"a moment that did not reach all":    {figures: func(f *File) { f.Moments[0].Note = "3 hollow limiters had not heard of it in time" }, want: "measured, not all reached"},
 		"told as partial, and is not":        {old: "## Target", new: "- Partial: stopped\n\n## Target", want: "no run of the figures says so"},
 		"another target":                     {old: "| limiters | 5,700 |", new: "| limiters | 570 |", want: "limiters is 570, which is not the target's 5700"},
 		"a target that is left out":          {old: "| zones | 5 | |\n", new: "", want: "the target has no zones"},
@@ -215,7 +216,7 @@
 		"an assumption without a figure":     {old: "| counters | 8 |", new: "| counters | few |", want: "is no figure"},
 		"a slope's figure that is another":   {old: "| 1e+03 bytes |", new: "| 900 bytes |", want: "per unit is"},
 		"a slope's sizes that are others":    {old: "1,000; 5,000", new: "1,000; 57,000", want: "sizes is"},
-		"a slope without a source":           {old: "| no tenants | a run |", new: "| no tenants | |", want: "no command, journal or file"},
+		"a slope without a source":           {old: "| no tenants | a run, a.json |", new: "| no tenants | |", want: "does not name the slope's file a.json"},
 		"a slope listed that is not there":   {old: "| limiter | memory | servers |", new: "| limiter | memory | tenants |", want: "there is no slope limiter memory against tenants"},
 		"a slope used that is not listed":    {old: "| limiter | memory | servers |", new: "| counter | messages | requests |", want: "the table of slopes does not list it"},
 		"a table that nothing checks":        {old: "| name | value | formula | why |", new: "| name | values | formula | why |", want: "a table with a head that is not known"},
@@ -268,11 +269,11 @@
 	page := strings.Replace(written(t), `slope("counter", "messages", "requests")`, `slope("counter", "messages", "requests", held="300")`, 1)
 	page = strings.Replace(Check(page, f).Page, " |  |\n", " | a run |\n", 1)
 	page = Check(page, f).Page
-	page = strings.Replace(page, "| 4 limiters | a run |", "| 4 limiters | the first |", 1)
+	page = strings.Replace(page, "| 4 limiters | a run, a.json |", "| 4 limiters | the first, a.json |", 1)
 	review := Check(page, f)
 	assert.Empty(t, review.Findings)
 	assert.Contains(t, page, "| 2,250 /s | measured, extrapolated x120 (requests) | 900 /s `900` | lacks x2.50 | counters |")
-	assert.Contains(t, page, "| counter | messages | requests | 0.05 1/s | 0 | 0 | 1,000; 3,000 | 300 limiters | a run |")
+	assert.Contains(t, page, "| counter | messages | requests | 0.05 1/s | 0 | 0 | 1,000; 3,000 | 300 limiters | a.json |")
 }
 
 func TestOfMomentsAndRunsOfTheModelTheLargestFleetIsTaken(t *testing.T) {
@@ -282,7 +283,7 @@
 	f.Quota = []scale.QuotaError{{Plan: "all", Set: "a", Limiters: 3, Counters: 1, Speed: 1, CallsPerRequest: 0.5}, {Plan: "all", Set: "a", Limiters: 30, Counters: 1, Speed: 1, CallsPerRequest: 0.6},
 		{Plan: "all", Set: "a", Limiters: 30, Counters: 1, Speed: 0, CallsPerRequest: 0.7}, {Plan: "all", Set: "b", Limiters: 30, Counters: 1, Speed: 0, CallsPerRequest: 0.8},
 		{Plan: "all", Set: "a", Limiters: 30, Counters: 1, Speed: 0, Free: true, CallsPerRequest: 0.9}, {Plan: "full", Set: "a", Limiters: 300, Counters: 1, CallsPerRequest: 1}}
-	r := &reviewer{figures: merge([]scale.Figures{f}), names: values{"limiters": 5700}}
+	r := &reviewer{figures: merge([]File{f}), names: values{"limiters": 5700}}
 	for formula, want := range map[string]string{
 		`moment("zone", "p99_s")`:                                                      "2 measured, extrapolated x57 (limiters)",
 		`moment("zone", "p99_s", model=True)`:                                          "7 model",
--- a/internal/capacity/eval.go
+++ b/internal/capacity/eval.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"maps"
 	"math"
+	"path"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -47,14 +49,15 @@
 // figures are those of all files, merged.
 type figures struct {
 	slopes   map[slopeKey][]scale.Slope
+	files    map[usedSlope]string // by their last names
 	quota    []scale.QuotaError
 	moments  []scale.Moment
 	added    []scale.AddedTime
 	findings []Finding
 }
 
-func merge(from []scale.Figures) *figures {
-	f := &figures{slopes: map[slopeKey][]scale.Slope{}}
+func merge(from []File) *figures {
+	f := &figures{slopes: map[slopeKey][]scale.Slope{}, files: map[usedSlope]string{}}
 	for _, x := range from {
 		if x.Version != 1 {
 			f.findings = append(f.findings, Finding{0, fmt.Sprintf("figures of version %d, where 1 is known", x.Version)})
@@ -71,6 +74,7 @@
 					key, s.Intercept, s.PerUnit, at, slope)})
 			}
 			f.slopes[key] = append(f.slopes[key], s)
+			f.files[keyOf(s)] = path.Base(filepath.ToSlash(x.Name))
 		}
 		f.quota = append(f.quota, x.Quota...)
 		f.moments = append(f.moments, x.Moments...)
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -7,8 +7,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"bramblefall/internal/scale"
 )
 
 // The page in the repository follows from the figures beside it.
@@ -18,12 +16,12 @@
 	require.NoError(t, err)
 	files := Sources(string(page))
 	require.NotEmpty(t, files)
-	var from []scale.Figures
+	var from []File
 	for _, name := range files {
 		raw, err := os.ReadFile(filepath.Join(root, filepath.FromSlash(name)))
 		require.NoError(t, err)
-		var f scale.Figures
-		require.NoError(t, json.Unmarshal(raw, &f), name)
+		f := File{Name: name}
+		require.NoError(t, json.Unmarshal(raw, &f.Figures), name)
 		from = append(from, f)
 	}
 	for _, f := range Check(string(page), from...).Findings {
