--- /dev/null
+++ b/cmd/bramblefall/moments_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A reload that is followed at once by the end, or follows it: what is held is answered, the new addresses are followed while the
+// limiter drains, and nothing new goes to a server that the new discovery says drains.
+func TestAReloadFollowedByADrain(t *testing.T) {
+	t.Parallel()
+	for name, tell := range map[string]func(l *limiter){
+		"at once": func(l *limiter) {
+			require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+			l.terminate()
+		},
+		"a moment later": func(l *limiter) {
+			require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+			time.Sleep(2 * time.Millisecond)
+			l.terminate()
+		},
+		"in the drain": func(l *limiter) {
+			l.terminate()
+			require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+		},
+		"again and again": func(l *limiter) {
+			for range 20 {
+				require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+			}
+			l.terminate()
+			require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			release := make(chan struct{})
+			left := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+				<-release
+				value("old")(conn, args)
+			})
+			fresh := newServer(t, "s-2", "hall-a", value("new"))
+			now := entries([]*server{left, fresh})
+			now[0]["state"] = "draining"
+			line, err := json.Marshal(object{"version": 7, "full": true, "servers": now})
+			require.NoError(t, err)
+			w := world{settings: settings(), servers: []*server{left}, counter: newCounter(t), registry: newRegistry(t)}
+			w.registry.tell(2, true, left)
+			l := start(t, w)
+			held, open := l.holding(left), l.dial()
+			require.Equal(t, "+PONG", open.do("PING"))
+			next := w
+			next.counter, next.registry = newCounter(t), agent(t, func(_ int, conn net.Conn) {
+				_, _ = conn.Write([]byte(chunked + chunk(string(line))))
+				until(conn)
+			})
+			raw, err := json.Marshal(next.config())
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(l.path, raw, 0o600))
+			tell(l)
+			l.says("msg=draining")
+			l.says("read the configuration anew")
+			require.Eventually(t, func() bool { _, conns := next.counter.made(); return conns > 0 }, patience, time.Millisecond)
+			close(release)
+			assert.Equal(t, "old", held.answer())
+			held.ended()
+			l.leaves()
+			assert.Len(t, left.seen(), 1)
+			assert.NotContains(t, l.log.String(), "cut off")
+		})
+	}
+}
+
+// A server that dies right after it has accepted a connection: by a reset before anything is read, or behind the command. Each
+// request has one answer, what may be repeated is served elsewhere, and what may have run is told as failed.
+func TestAServerThatDiesRightAfterAnAccept(t *testing.T) {
+	t.Parallel()
+	for name, read := range map[string]bool{"unread": false, "behind the command": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dies := &server{id: "s-1", zone: "hall-a", state: "ready", addr: acceptOn(t, func(conn net.Conn) {
+				if read {
+					_ = readCommand(conn)
+				}
+				reset(conn, nil)
+			})}
+			w := world{servers: []*server{dies, newServer(t, "s-2", "hall-a", value("v"))}}
+			l := start(t, w)
+			for k := range 40 {
+				require.Equal(t, "v", l.dial().do(ask(fmt.Sprint("a", k))...))
+				require.Contains(t, []string{"v", "-ERR failed"}, l.dial().do(post(fmt.Sprint("p", k))...))
+			}
+		})
+	}
+}
+
+// A command may come in two pieces, cut anywhere, or a byte at a time, alone or behind another.
+func TestRequestsInPieces(t *testing.T) {
+	t.Parallel()
+	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		value("v"+args[2])(conn, args)
+	})}})
+	whole := len(command(post("a000")...) + command(ask("b000")...))
+	c := l.dial()
+	for cut := 1; cut < whole; cut += 3 {
+		first, second := fmt.Sprintf("a%03d", cut), fmt.Sprintf("b%03d", cut)
+		text := command(post(first)...) + command(ask(second)...)
+		c.write(text[:cut])
+		time.Sleep(time.Millisecond)
+		c.write(text[cut:])
+		require.Equal(t, "v"+first, c.answer())
+		require.Equal(t, "v"+second, c.answer())
+	}
+	for _, b := range []byte(command(ask("slow")...)) {
+		c.write(string(b))
+	}
+	require.Equal(t, "vslow", c.answer())
+}
+
+// Servers that take every request and answer none: each request has its one answer within its time, the connections go on, and
+// once servers answer again they are used.
+func TestRequestsLeftWithNoAnswer(t *testing.T) {
+	t.Parallel()
+	silent := make(chan struct{})
+	w := world{sockets: 400}
+	for k := range 4 {
+		w.servers = append(w.servers, newServer(t, fmt.Sprint("s-", k), "hall-a", func(conn net.Conn, args []string) {
+			select {
+			case <-silent:
+				value("v")(conn, args)
+			default: // never
+			}
+		}))
+	}
+	l := start(t, w)
+	var clients []*client
+	for k := range 50 {
+		c := l.dial()
+		clients = append(clients, c)
+		for n, words := range [][]string{ask(fmt.Sprint("a", k)), post(fmt.Sprint("p", k)), ask(fmt.Sprint("b", k))} {
+			words[3] = strings.NewReplacer("d=4000", fmt.Sprint("d=", 500+200*n), "d=6000", "d=900").Replace(words[3])
+			c.write(command(words...))
+		}
+	}
+	for _, c := range clients {
+		for range 3 {
+			require.Regexp(t, "^-(BUSY|ERR failed)", c.answer())
+		}
+	}
+	close(silent)
+	c := clients[0]
+	served, k := "", 0
+	for began := time.Now(); served != "v"; k++ {
+		require.Less(t, time.Since(began), patience)
+		served = c.do(ask(fmt.Sprint("c", k))...)
+	}
+	for _, c := range clients {
+		require.Equal(t, "+PONG", c.do("PING"))
+	}
+}
+
+// New connections that come all the time round SIGTERM, each with a request at once: the machine accepts it or not, and each that
+// it has accepted has its answer.
+func TestARequestRightBehindAnAcceptIsAnsweredInADrain(t *testing.T) {
+	t.Parallel()
+	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}})
+	done := make(chan string, 10000)
+	n := 0
+	for ; ; n++ {
+		if n == 20 {
+			l.terminate()
+		}
+		conn, err := net.Dial("tcp", l.addr)
+		if err != nil {
+			break
+		}
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		go func() {
+			defer conn.Close()
+			_, _ = io.WriteString(conn, command(ask(fmt.Sprint("id", n))...))
+			answer, _ := io.ReadAll(io.LimitReader(conn, int64(len("$1\r\nv\r\n"))))
+			done <- string(answer)
+		}()
+		time.Sleep(2 * time.Millisecond)
+	}
+	l.leaves()
+	for k := range n {
+		assert.Equal(t, "$1\r\nv\r\n", await(t, done, "an answer"), "request %d of %d", k, n)
+	}
+}
