--- /dev/null
+++ b/internal/model/shut_test.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/core"
+	"bramblefall/logic"
+)
+
+// watched notes whether a decider turns away all that it gets, fifteen or more, for four seconds on end with no try in between.
+type watched struct {
+	Decider
+	first time.Duration // of those turned away since the last try
+	away  int
+	most  time.Duration // the longest such time, of fifteen or more
+	tries int
+}
+
+func (d *watched) Reduce(now time.Duration, ev core.Event, effects []core.Effect) []core.Effect {
+	before := len(effects)
+	effects = d.Decider.Reduce(now, ev, effects)
+	for _, e := range effects[before:] {
+		switch e.(type) {
+		case core.Try:
+			d.away = 0
+			d.tries++
+		case core.Reject, core.Fail:
+			if d.away++; d.away == 1 {
+				d.first = now
+			}
+			if d.away >= 15 {
+				d.most = max(d.most, now-d.first)
+			}
+		}
+	}
+	return effects
+}
+
+// On quiet days and releases hardly any limiter serves nobody: one in ten at most.
+func TestFewLimitersServeNobody(t *testing.T) {
+	for name, faults := range map[string][]Fault{
+		"calm":    {{Kind: FaultHot, At: 8, For: 8, Size: 0.5}},
+		"release": {{Kind: FaultDrain, At: 4, Part: 0.5}, {Kind: FaultLimiters, At: 5, For: 0.2, Part: 0.5}, {Kind: FaultPause, At: 10, For: 3, Part: 0.1}, {Kind: FaultLimiters, At: 14, For: 0.2, Part: 0.5}},
+		"cut":     {{Kind: FaultSilent, At: 5, For: 6}, {Kind: FaultCrash, At: 5, For: 4, Part: 0.5}},
+	} {
+		for _, limiters := range []int{6, 30, 80} {
+			for seed := range uint64(2) {
+				t.Run(fmt.Sprint(name, limiters, seed), func(t *testing.T) {
+					t.Parallel()
+					s := Scale(limiters, max(6, limiters/2), 10*limiters, 0)
+					s.Name, s.Seconds, s.Faults = name, 24, faults
+					s.Firms.Use = Range{0.5, 0.95}
+					var all []*watched
+					own := Own()
+					w := New(s, seed, Policy{own.Name, func(set logic.Settings, seed uint64) Decider {
+						d := &watched{Decider: own.New(set, seed)}
+						all = append(all, d)
+						return d
+					}}, false)
+					r := w.Run()
+					shut, tries := 0, 0
+					for _, d := range all {
+						if tries += d.tries; d.most >= 4*time.Second {
+							shut++
+						}
+					}
+					t.Logf("%s: %d of %d limiters, %d tries, worth %.2f", t.Name(), shut, len(all), tries, r.Worth())
+					require.LessOrEqual(t, 10*shut, len(all))
+				})
+			}
+		}
+	}
+}
