--- a/internal/scale/quota.go
+++ b/internal/scale/quota.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math"
@@ -34,7 +35,11 @@
 
 // A limiter begins with a third of its calls and takes up the others by some fifty answers, which takes the longer the fewer
 // requests it sees: what is measured is the time after that.
-const warmThin, warmBusy, measured = 50, 15, 25
+const (
+	warmThin, warmBusy = 50.0, 15.0 // seconds; thin: through more limiters than that the total is thin
+	thin               = 30
+	measured           = 25.0
+)
 
 // quotaLoads are the loads. Nodes have room for twice what is asked for and more, so that what is refused is refused by
 // quotas.
@@ -95,34 +100,49 @@
 	free     bool
 }
 
-// quotaPoints are the points of a run, the smallest fleets first.
+// quotaPoints are the points of a run. Those that tell most come first, so that a run that is ended early tells them:
+// the counter as it is and an unlimited one, the smallest fleets first.
 func quotaPoints(quick bool) (all []quotaPoint) {
 	sizes := []int{3, 10, 30, 100, 300}
 	if quick {
 		sizes = []int{3, 30}
 	}
-	for _, n := range sizes {
-		for _, load := range quotaLoads() {
-			if quick && load.name != "total, all" && load.name != "units, all" {
-				continue
-			}
-			counters := load.counters
-			if quick {
-				counters = ends
-			}
-			for _, c := range counters {
-				all = append(all, quotaPoint{load, n, c.speed, c.free})
+	first := []string{"total, all", "each, 30", "units, all"}
+	for pass := range 2 {
+		for _, n := range sizes {
+			for _, load := range quotaLoads() {
+				for _, c := range load.counters {
+					tells := slices.Contains(first, load.name) && slices.Contains(ends, c)
+					if tells == (pass == 0) && (!quick || tells && load.name != "each, 30") {
+						all = append(all, quotaPoint{load, n, c.speed, c.free})
+					}
+				}
 			}
 		}
 	}
 	return all
 }
 
+// inOrder sorts figures by load, limiters and counter, whatever their turn was.
+func inOrder(list []QuotaError) []QuotaError {
+	loads := quotaLoads()
+	place := func(q QuotaError) int {
+		load := slices.IndexFunc(loads, func(l quotaLoad) bool { return l.name == q.Set })
+		return (load*1000+q.Limiters)*10 + slices.Index(ladder, counterKind{q.Speed, q.Free})
+	}
+	slices.SortStableFunc(list, func(a, b QuotaError) int { return cmp.Compare(place(a), place(b)) })
+	return list
+}
+
 // scenario is the point's.
 func (p quotaPoint) scenario(quick bool) (model.Scenario, model.Policy, error) {
 	s, err := p.load.make(p.limiters)
 	s.Name = fmt.Sprintf("%s, %d limiters, %s", p.load.name, p.limiters, speedName(p.speed, p.free))
-	s.Seconds, s.Warm, s.Faults = p.load.warm+measured, p.load.warm, nil
+	s.Warm, s.Faults = p.load.warm, nil
+	if p.limiters <= thin {
+		s.Warm = warmBusy
+	}
+	s.Seconds = s.Warm + measured
 	if quick {
 		s.Seconds, s.Warm = 15, 6
 	}
@@ -177,7 +197,7 @@
 	for k := 0; k+seeds <= len(done); k += seeds { // whole points alone
 		all = append(all, points[k/seeds].rows(done[k:k+seeds])...)
 	}
-	return all, ctx.Err()
+	return inOrder(all), ctx.Err()
 }
 
 // rows sums up the seeds of a point: a row for all plans, and one for each.
