--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -67,6 +67,8 @@
 	dash    = "—"
 )
 
+const dropped = "\x00" // stands for a line that is not written again
+
 var sources = regexp.MustCompile("(?m)^Figures: (.*)$")
 
 // Sources are the files that a page names on its line "Figures:", each in backticks.
@@ -130,6 +132,7 @@
 	r.whole()
 	out := slices.Clone(r.lines)
 	out = rewriteNotes(r.rewriteLists(out), notes(from))
+	out = slices.DeleteFunc(out, func(l string) bool { return l == dropped })
 	return Review{Findings: r.findings, Page: strings.Join(out, "\n"), Main: r.main()}
 }
 
@@ -329,10 +332,13 @@
 		}
 		if err != nil {
 			r.find(x.line, "%v", err)
+			r.lines[x.line-1] = dropped
 			continue
 		}
 		if key := keyOf(s); r.listed[key] {
 			r.find(x.line, "the slope %s is listed twice", key)
+			r.lines[x.line-1] = dropped
+			continue
 		} else {
 			r.listed[key] = true
 		}
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -201,31 +201,36 @@
 		"a missing slope that is there": {figures: func(f *File) {
 			f.Slopes = append(f.Slopes, scale.Slope{Role: "limiter", What: "processor", Against: "routes", Sizes: []float64{1, 2}, Values: []float64{1, 2}, PerUnit: 1})
 		}, want: "is named as missing, and it is there"},
-		"nothing said of what carries it":    {old: "| has | a watch |", new: "| has | |", want: "nothing is said of what carries it"},
-		"partial figures, not told":          {figures: func(f *File) { f.Partial = "stopped" }, want: `no line says "- Partial: stopped"`},
-		"quick figures, not told":            {figures: func(f *File) { f.Quick = true }, want: `no line says "- Quick:`},
-		"a broken bar, not told":             {figures: func(f *File) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "- Bar broken: all heard (was no)"`},
-		"a moment that did not reach all":    {figures: func(f *File) { f.Moments[0].Note = "3 hollow limiters had not heard of it in time" }, want: "measured, not all reached"},
-		"told as partial, and is not":        {old: "## Target", new: "- Partial: stopped\n\n## Target", want: "no run of the figures says so"},
-		"another target":                     {old: "| limiters | 5,700 |", new: "| limiters | 570 |", want: "limiters is 570, which is not the target's 5700"},
-		"a target that is left out":          {old: "| zones | 5 | |\n", new: "", want: "the target has no zones"},
-		"a name twice":                       {old: "| counters | 8 |", new: "| servers | 8 |", want: "servers is named twice"},
-		"a name that no formula could use":   {old: "| counters | 8 |", new: "| the counters | 8 |", want: `"the counters" is no name`},
-		"an assumption that does not follow": {old: "| share | 63.2 /s |", new: "| share | 6.32 /s |", want: `share is "6.32 /s"`},
-		"an assumption without a reason":     {old: "| a guess |", new: "| |", want: "counters has no reason"},
-		"an assumption without a figure":     {old: "| counters | 8 |", new: "| counters | few |", want: "is no figure"},
-		"a slope's figure that is another":   {old: "| 1e+03 bytes |", new: "| 900 bytes |", want: "per unit is"},
-		"a slope's sizes that are others":    {old: "1,000; 5,000", new: "1,000; 57,000", want: "sizes is"},
-		"a slope without a source":           {old: "| no tenants | a run, a.json |", new: "| no tenants | |", want: "does not name the slope's file a.json"},
-		"a slope listed that is not there":   {old: "| limiter | memory | servers |", new: "| limiter | memory | tenants |", want: "there is no slope limiter memory against tenants"},
-		"a slope used that is not listed":    {old: "| limiter | memory | servers |", new: "| counter | messages | requests |", want: "the table of slopes does not list it"},
-		"a table that nothing checks":        {old: "| name | value | formula | why |", new: "| name | values | formula | why |", want: "a table with a head that is not known"},
-		"a line with a cell too few":         {old: "| counters | 8 | |", new: "| counters | 8 |", want: "3 cells where the head has 4"},
-		"the worst not first":                {old: "| x25 | counter | peak | messages | a run |\n", new: "", want: "here follows x25, counter, peak, messages"},
-		"a lacking row that is not named":    {old: "| — | limiter | rack, zone, restart, regions, day | messages | a run |\n", new: "", want: "ends before"},
-		"named as missing and is not":        {old: "| x25 | counter | peak | messages | a run |\n", new: "| x25 | counter | peak | messages | a run |\n| x9 | tools | day | state | a run |\n", want: "here follows"},
-		"a remedy that is not said":          {old: "| x25 | counter | peak | messages | a run |", new: "| x25 | counter | peak | messages | |", want: "what would carry it"},
-		"no list of what is missing":         {old: "| factor | role | moment | what | what would carry it |", new: "| factors | role | moment | what | what would carry it |", want: "no table of what is missing first"},
+		"nothing said of what carries it":         {old: "| has | a watch |", new: "| has | |", want: "nothing is said of what carries it"},
+		"partial figures, not told":               {figures: func(f *File) { f.Partial = "stopped" }, want: `no line says "- Partial: stopped"`},
+		"quick figures, not told":                 {figures: func(f *File) { f.Quick = true }, want: `no line says "- Quick:`},
+		"a broken bar, not told":                  {figures: func(f *File) { f.Bars = []scale.Bar{{Name: "all heard", Was: "no"}} }, want: `no line says "- Bar broken: all heard (was no)"`},
+		"a moment that did not reach all":         {figures: func(f *File) { f.Moments[0].Note = "3 hollow limiters had not heard of it in time" }, want: "measured, not all reached"},
+		"told as partial, and is not":             {old: "## Target", new: "- Partial: stopped\n\n## Target", want: "no run of the figures says so"},
+		"a target's value that is no figure":      {old: "| limiters | 5,700 |", new: "| limiters | many |", want: `limiters: "many" is no figure`},
+		"a slope listed twice":                    {old: "| counter | messages | requests | 0.5 1/s |", new: "| limiter | memory | servers | 1e+03 bytes | 10 | 1e+07 | 1,000; 5,000 | no tenants | a run, a.json |\n| counter | messages | requests | 0.5 1/s |", want: "limiter memory against servers, no tenants is listed twice"},
+		"a budget in no known unit":               {old: "| 32 MB `control_memory`", new: "| 32 Mb `control_memory`", want: `the budget: "32 Mb" is in no unit`},
+		"named as missing at the end, and is not": {old: "| — | limiter | rack, zone, restart, regions, day | messages | a run |\n", new: "| — | limiter | rack, zone, restart, regions, day | messages | a run |\n| x1.01 | tools | day | state | a run |\n", want: "named as missing, but no row lacks it"},
+		"no table of slopes":                      {old: "| role | what | against | per unit |", new: "| roles | what | against | per unit |", want: "there is no table of slopes"},
+		"another target":                          {old: "| limiters | 5,700 |", new: "| limiters | 570 |", want: "limiters is 570, which is not the target's 5700"},
+		"a target that is left out":               {old: "| zones | 5 | |\n", new: "", want: "the target has no zones"},
+		"a name twice":                            {old: "| counters | 8 |", new: "| servers | 8 |", want: "servers is named twice"},
+		"a name that no formula could use":        {old: "| counters | 8 |", new: "| the counters | 8 |", want: `"the counters" is no name`},
+		"an assumption that does not follow":      {old: "| share | 63.2 /s |", new: "| share | 6.32 /s |", want: `share is "6.32 /s"`},
+		"an assumption without a reason":          {old: "| a guess |", new: "| |", want: "counters has no reason"},
+		"an assumption without a figure":          {old: "| counters | 8 |", new: "| counters | few |", want: "is no figure"},
+		"a slope's figure that is another":        {old: "| 1e+03 bytes |", new: "| 900 bytes |", want: "per unit is"},
+		"a slope's sizes that are others":         {old: "1,000; 5,000", new: "1,000; 57,000", want: "sizes is"},
+		"a slope without a source":                {old: "| no tenants | a run, a.json |", new: "| no tenants | |", want: "does not name the slope's file a.json"},
+		"a slope listed that is not there":        {old: "| limiter | memory | servers |", new: "| limiter | memory | tenants |", want: "there is no slope limiter memory against tenants"},
+		"a slope used that is not listed":         {old: "| limiter | memory | servers |", new: "| counter | messages | requests |", want: "the table of slopes does not list it"},
+		"a table that nothing checks":             {old: "| name | value | formula | why |", new: "| name | values | formula | why |", want: "a table with a head that is not known"},
+		"a line with a cell too few":              {old: "| counters | 8 | |", new: "| counters | 8 |", want: "3 cells where the head has 4"},
+		"the worst not first":                     {old: "| x25 | counter | peak | messages | a run |\n", new: "", want: "here follows x25, counter, peak, messages"},
+		"a lacking row that is not named":         {old: "| — | limiter | rack, zone, restart, regions, day | messages | a run |\n", new: "", want: "ends before"},
+		"named as missing and is not":             {old: "| x25 | counter | peak | messages | a run |\n", new: "| x25 | counter | peak | messages | a run |\n| x9 | tools | day | state | a run |\n", want: "here follows"},
+		"a remedy that is not said":               {old: "| x25 | counter | peak | messages | a run |", new: "| x25 | counter | peak | messages | |", want: "what would carry it"},
+		"no list of what is missing":              {old: "| factor | role | moment | what | what would carry it |", new: "| factors | role | moment | what | what would carry it |", want: "no table of what is missing first"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			page, f := written(t), figuresOfATest()
@@ -304,6 +309,20 @@
 	}
 }
 
+func TestASlopeThatIsNotThereAnyMoreIsNotWrittenAgain(t *testing.T) {
+	page := written(t)
+	f := figuresOfATest()
+	other, more := f.Slopes[0], f.Slopes[0]
+	other.Held, more.Held = "longer lists", "many tenants"
+	f.Slopes = append(f.Slopes[1:], other, more)
+	page = strings.ReplaceAll(page, `"servers", servers)`, `"servers", servers, held="longer")`)
+	require.NotEmpty(t, Check(page, f).Findings)
+	page = Check(page, f).Page
+	assert.Empty(t, Check(page, f).Findings)
+	assert.Contains(t, page, "| longer lists | a.json |")
+	assert.NotContains(t, page, "| no tenants |")
+}
+
 func TestDigits(t *testing.T) {
 	for v, want := range map[float64]string{0: "0", 7: "7", 5700: "5,700", 999_999: "999,999", 1_234_567: "1,230,000", 12.345: "12.3",
 		0.012345: "0.0123", 1234.5: "1,230", 99.96: "100", 1.001: "1.00"} {
--- a/internal/capacity/eval.go
+++ b/internal/capacity/eval.go
@@ -40,6 +40,8 @@
 	held string
 }
 
+func (k usedSlope) String() string { return k.slopeKey.String() + ", " + k.held }
+
 func keyOf(s scale.Slope) usedSlope { return usedSlope{slopeKey{s.Role, s.What, s.Against}, s.Held} }
 
 func (k usedSlope) compare(o usedSlope) int {
