--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -45,8 +45,9 @@
 // Review is what a page came to.
 type Review struct {
 	Findings []Finding
-	Page     string // with figures, verdicts and tables as they follow
-	Main     string // the largest missing factor, and the counts of rows
+	Page     string             // with figures, verdicts and tables as they follow
+	Main     string             // the largest missing factor, and the counts of rows
+	Names    map[string]float64 // of the target and the assumptions
 }
 
 // The tables of a page, by their heads.
@@ -133,7 +134,7 @@
 	out := slices.Clone(r.lines)
 	out = rewriteNotes(r.rewriteLists(out), notes(from))
 	out = slices.DeleteFunc(out, func(l string) bool { return l == dropped })
-	return Review{Findings: r.findings, Page: strings.Join(out, "\n"), Main: r.main()}
+	return Review{Findings: r.findings, Page: strings.Join(out, "\n"), Main: r.main(), Names: r.names}
 }
 
 func (r *reviewer) find(line int, format string, args ...any) {
--- a/internal/capacity/page_test.go
+++ b/internal/capacity/page_test.go
@@ -6,7 +6,11 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/model"
+	"bramblefall/internal/plans"
 )
 
 // The page in the repository follows from the figures beside it.
@@ -24,7 +28,11 @@
 		require.NoError(t, json.Unmarshal(raw, &f.Figures), name)
 		from = append(from, f)
 	}
-	for _, f := range Check(string(page), from...).Findings {
+	review := Check(string(page), from...)
+	for _, f := range review.Findings {
 		t.Error(f)
 	}
+	for name, is := range map[string]float64{"book_firms": plans.MostFirms, "counter_bears": model.Base().Counter.PerSecond} {
+		assert.Equal(t, is, review.Names[name], "%s, as the program has it", name)
+	}
 }
