A limiter that stood still reads what came of a list before it doubts it

Seen: in a trial, 57,000 servers in one line, a grace of 250 ms, client and discovery on one shared core: in one of ten a list that was on its way was left ("says nothing more, in the middle of a line") and asked for anew, 7.2 MB once more. With the real program stopped for 300 ms in the middle of a list, the rest of which comes meanwhile: left each time, 5 of 5.

Cause: the pulse's timer and the connection are both ready when the limiter goes on, and the runtime runs the timer first (watch.go, the function of p.timer). Excluded: discovery (the rest stood in the socket's buffer by order of the test). In the trial it may have been the sender that stood still; that is not told apart there.

Change: the first time that the timer runs out the connection has 5 ms more; bytes that come begin the wait anew.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -31,6 +31,11 @@
 	over              // the connection has ended
 )
 
+const (
+	lastLook = 5 * time.Millisecond
+	never    = time.Hour
+)
+
 // What one list may hold. The need is 57,000 servers, of 127 bytes each in a line and 180 indented. There is room for 4.6 times
 // as many and for entries 32 times as large. Guards against a list, or something else, that never ends: it is refused, and the
 // servers known stay.
@@ -59,8 +64,13 @@
 		}
 	}
 	p := &pulse{terms: c.terms}
-	p.timer = lastwords.AfterFunc(c.terms.head(), func() { say(word{kind: doubt, mid: p.mid()}) })
+	p.timer = lastwords.AfterFunc(never, func() {
+		if !p.late() {
+			say(word{kind: doubt, mid: p.mid()})
+		}
+	})
 	defer p.timer.Stop()
+	p.timer.Reset(c.terms.head())
 	l, err := lists(here, url, p, func(l *List) { say(word{kind: line, list: l}) })
 	// Guards against the text of a refusal that is taken for the beginning of a list, and asked for again as soon.
 	mid := p.mid() && !errors.Is(err, errStatus)
@@ -174,6 +184,7 @@
 type pulse struct {
 	terms terms
 	timer *time.Timer
+	look  atomic.Bool // the time is over, and the connection is given a last look
 	open  atomic.Bool // the last byte on the connection ended no line
 	list  atomic.Bool // a list has begun in the body, and not ended
 }
@@ -182,7 +193,18 @@
 // indented list that stops at the end of one of its lines and is waited for as if it stood between two lists.
 func (p *pulse) mid() bool { return p.open.Load() || p.list.Load() }
 
+// late tells, where the time is over, whether the connection may have bytes that were not read yet. Guards against a limiter
+// that stood still, or without its processor, and doubts an answer that came meanwhile: a long list would begin anew.
+func (p *pulse) late() bool {
+	if p.look.Swap(true) {
+		return false
+	}
+	p.timer.Reset(lastLook)
+	return true
+}
+
 func (p *pulse) beat() {
+	p.look.Store(false)
 	if p.mid() {
 		p.timer.Reset(p.terms.stuck())
 	} else {
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -108,3 +108,22 @@
 	}
 	require.Equal(t, []Server{{ID: "s-1", State: "draining"}}, x.list.Servers, "what it has told")
 }
+
+// Before an answer is doubted the connection is looked at once more: bytes may have come while the limiter stood still.
+func TestAnAnswerThatCameWhileTheLimiterStoodStillIsNotDoubted(t *testing.T) {
+	p := idle(termsOf(logic.Settings{}))
+	fired := 0
+	fire := func() { // what the timer does
+		if !p.late() {
+			fired++
+		}
+	}
+	p.open.Store(true)
+	fire()
+	require.Zero(t, fired, "the first time is for a last look")
+	p.beat() // which finds something
+	fire()
+	require.Zero(t, fired)
+	fire()
+	require.Equal(t, 1, fired, "which finds nothing")
+}
