--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -64,7 +64,7 @@
 	kept    int           // one before, which fell silent between two lines and may go on; 0: none
 	pending int           // the last that has brought nothing: its answer may come once discovery is back; 0: none
 	silent  bool          // the last that was left had brought nothing and had not ended
-	lines   bool          // live has brought one
+	lines   bool          // live has brought a whole word
 	some    bool          // the last that ended had brought something
 	useless bool          // a list that is refused
 	began   time.Duration // live
@@ -79,7 +79,7 @@
 	return f.live
 }
 
-// heard takes note of a line. It tells whether to believe it and which watches are of no more use.
+// heard takes note of a whole word. It tells whether to believe it and which watches are of no more use.
 func (f *follower) heard(watch int) (believed bool, drop []int) {
 	if watch == 0 || watch != f.live && watch != f.kept && watch != f.pending {
 		return false, nil
