A limiter short of descriptors blames no server for it

Lines at fault: Pool.start and Pool.dial in internal/upstream told ConnectFailed, which the module takes for the server's; so did Caller.Try for an endpoint.

Change: a status Unsent, "it did not leave, for want of something here": proof that nothing ran, no judgement on the server. Told where the pool has none left, where the system says EMFILE or ENFILE, where an endpoint's connection has no place, and where a try's time was over before its dial.

Test: TestDescriptorsShortBlameNoServer. Random events of the module's rules test have the status, too.

--- a/cmd/bramblefall/crossing_test.go
+++ b/cmd/bramblefall/crossing_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"bramblefall/internal/resp"
 )
@@ -509,6 +510,55 @@
 	assert.Less(t, len(rest), 60<<10, "all of it has come")
 }
 
+// No descriptor is left for a connection to a server, by the system's word or by the limiter's own count: the servers are not to
+// blame and not left out, the request is refused as harmless, and once there is one it is served.
+func TestDescriptorsShortBlameNoServer(t *testing.T) {
+	t.Parallel()
+	limit := func(l *limiter, n uint64) {
+		var was unix.Rlimit
+		require.NoError(t, unix.Prlimit(l.cmd.Process.Pid, unix.RLIMIT_NOFILE, nil, &was))
+		require.NoError(t, unix.Prlimit(l.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: was.Max}, nil))
+	}
+	t.Run("the system's word", func(t *testing.T) {
+		t.Parallel()
+		l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v")), newServer(t, "s-2", "hall-a", value("v"))}})
+		c := l.dial()
+		require.Equal(t, "+PONG", c.do("PING"))
+		limit(l, 3) // no new one, whatever is free
+		assert.Regexp(t, "^-BUSY", c.do(post("01")...))
+		l.says("no descriptor left")
+		limit(l, 128)
+		assert.Equal(t, "v", c.do(post("02")...))
+		assert.NotContains(t, l.log.String(), "left out")
+	})
+	t.Run("its own count", func(t *testing.T) {
+		t.Parallel()
+		const most = 32 // of 128
+		release := make(chan struct{})
+		slow := func(conn net.Conn, args []string) {
+			<-release
+			value("v")(conn, args)
+		}
+		w := world{}
+		for k := range 8 {
+			w.servers = append(w.servers, newServer(t, fmt.Sprint("s-", k), "hall-a", slow))
+		}
+		l := start(t, w)
+		c := l.dial()
+		var text strings.Builder
+		for k := range 2 * most {
+			text.WriteString(command(post(fmt.Sprint("id", k))...))
+		}
+		c.write(text.String())
+		l.says("no descriptor left")
+		close(release)
+		for range 2 * most {
+			require.Regexp(t, "^(v|-BUSY)", c.answer())
+		}
+		assert.NotContains(t, l.log.String(), "left out")
+	})
+}
+
 // Hundreds of connections that say nothing, that bring a byte of a command, or that do not read what they asked for, many
 // more than there are descriptors: the limit holds at every moment, and another client that is turned away and comes again is
 // served.
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -74,14 +74,14 @@
 	c.endpoints[id] = &endpoint{addr: addr}
 }
 
-// connect makes an endpoint's connection where there is none. It fails if every one is in use.
-func (c *Caller) connect(e *endpoint) bool {
+// connect makes an endpoint's connection where there is none. Unsent, which blames no endpoint, if every one is in use.
+func (c *Caller) connect(e *endpoint) logic.Status {
 	if e.client != nil {
-		return true
+		return logic.OK
 	}
 	if c.connected >= c.most && !c.evict() {
 		slog.Warn("no descriptor left for an endpoint's connection", "connected", c.connected)
-		return false
+		return logic.Unsent
 	}
 	// No retries of the library's own: it may only redo a call that the endpoint has declared never begun.
 	client, err := grpc.NewClient("passthrough:///"+e.addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -91,11 +91,11 @@
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostAnswer)))
 	if err != nil {
 		slog.Warn("an endpoint's address cannot be used", "addr", e.addr, "err", err)
-		return false
+		return logic.ConnectFailed
 	}
 	e.client = client
 	c.connected++
-	return true
+	return logic.OK
 }
 
 // evict gives up the connection that has been unused longest.
@@ -145,8 +145,12 @@
 		return
 	}
 	e, ok := c.endpoints[t.Server]
-	if !ok || !c.connect(e) {
-		c.post(core.Outcome{Key: t.Key, Status: logic.ConnectFailed})
+	status := logic.ConnectFailed
+	if ok {
+		status = c.connect(e)
+	}
+	if status != logic.OK {
+		c.post(core.Outcome{Key: t.Key, Status: status})
 		return
 	}
 	p := &pending{}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,8 +5,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"sync"
+	"syscall"
 	"time"
 
 	"bramblefall/internal/core"
@@ -24,6 +26,7 @@
 	defaultIdle = 10 * time.Second       // where the settings name none
 	defaultUp   = 250 * time.Millisecond // likewise, for a connection to come up
 	sweepEvery  = time.Second
+	logEvery    = time.Second
 	restFor     = 20 * time.Millisecond  // after an answer: what more a server sends must not meet the next try
 	stuckAfter  = 250 * time.Millisecond // without a byte in the middle of an answer: the rest will not come
 )
@@ -48,6 +51,7 @@
 	targets map[logic.ServerID]*target
 	tries   map[core.Key]*flight
 	open    int
+	told    time.Time // the last word on descriptors in the log
 }
 
 type target struct {
@@ -225,7 +229,7 @@
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
 		return
 	}
-	if !p.due(f) {
+	if !p.due(f, logic.Unsent) {
 		return
 	}
 	for n := len(f.target.idle) - 1; n >= 0; n-- {
@@ -245,14 +249,22 @@
 		return
 	}
 	if p.open >= p.most && !p.evict() {
-		slog.Warn("no descriptor left for a server's connection", "open", p.open)
-		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
+		p.short(f, nil)
 		return
 	}
 	p.open++
 	lastwords.Go(func() { p.dial(f) })
 }
 
+// short ends a flight for which no descriptor is left. The server is not to blame.
+func (p *Pool) short(f *flight, err error) {
+	if time.Since(p.told) >= logEvery {
+		p.told = time.Now()
+		slog.Warn("no descriptor left for a server's connection", "open", p.open, "err", err)
+	}
+	p.finish(core.Outcome{Status: logic.Unsent}, f)
+}
+
 // evict closes the connection that has been idle longest, to make room for a new one.
 func (p *Pool) evict() bool {
 	var oldest *connection
@@ -273,7 +285,11 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
-		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			p.short(f, err)
+		} else {
+			p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
+		}
 		return
 	}
 	c := &connection{pool: p, target: f.target, conn: conn}
@@ -283,19 +299,19 @@
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
 		return
 	}
-	if f.done || !p.due(f) { // given up, or come up too late: the connection serves the next
+	if f.done || !p.due(f, logic.ConnectFailed) { // given up, or come up too late: the connection serves the next
 		p.rest(c)
 		return
 	}
 	p.write(c, f)
 }
 
-// due tells whether a flight's bytes may leave now; it ends one of which they may not. Guards against a repeat that no server
+// due tells whether a flight's bytes may leave now; it ends one of which they may not, by late where it is too late. Guards against a repeat that no server
 // drops any more, and against a request that nobody waits for: the reducer may not have said so yet, and its client's end may
 // lie unread or in the inbox behind much else.
-func (p *Pool) due(f *flight) bool {
+func (p *Pool) due(f *flight, late logic.Status) bool {
 	if p.now() >= f.until {
-		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
+		p.finish(core.Outcome{Status: late}, f)
 		return false
 	}
 	if f.origin.Gone() {
--- a/logic/api.go
+++ b/logic/api.go
@@ -172,7 +172,7 @@
 // Status is how an attempt, probe or counter call ended.
 type Status int
 
-// The ways to end. Full, ConnectFailed and Moot prove that nothing ran.
+// The ways to end. Full, ConnectFailed, Moot and Unsent prove that nothing ran.
 const (
 	OK Status = iota
 	Error
@@ -183,6 +183,7 @@
 	Cancelled
 	Moot
 	Spoilt // an answer came that nobody can use: it may have run
+	Unsent // it did not leave, for want of something here: the server is not to blame
 )
 
 // Outcome ends an attempt (event).
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -198,7 +198,7 @@
 		delete(g.servers, s.ID)
 	}
 	g.learn(s, r, o)
-	neverRan := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
+	neverRan := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot || o.Status == Unsent
 	if !neverRan && !r.ran {
 		r.ran, r.keyServer, r.keyUntil = true, s, r.sentAt+r.class.KeyTTL
 	}
@@ -851,7 +851,7 @@
 		if f.strain < calm && (f.busy+1 > 0.8*f.bound() || g.blind > 0 && f.room < 1) {
 			f.limit = min(f.limit*(1+0.005*(1+9*g.blind)), limitMost)
 		}
-	case Cancelled, Moot:
+	case Cancelled, Moot, Unsent:
 		s.trial = false
 	default:
 		// Overload shows in what is not answered, too, but it also makes the answers slow. While they are quick, a
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -116,7 +116,7 @@
 		b.t.Fatalf("request %d has no attempt out", p.ID)
 	}
 	p.out = false
-	if st != Full && st != ConnectFailed && st != Moot && !p.mayRan {
+	if st != Full && st != ConnectFailed && st != Moot && st != Unsent && !p.mayRan {
 		p.mayRan, p.firstRan, p.firstSent = true, p.server, p.sentAt
 	}
 	closed := p.answer != ""
@@ -252,7 +252,7 @@
 func playRandom(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	b := newBench(t, testSettings(), ready(6)...)
-	statuses := []Status{OK, OK, OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot}
+	statuses := []Status{OK, OK, OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Unsent}
 	b.run(20*time.Second, func() {
 		if rng.Float64() < 0.3 {
 			b.arrive(Request{Class: rng.IntN(4), Plan: rng.IntN(4), Customer: uint64(rng.IntN(40)),
