Test: a goroutine of the drain's test reads no loop variable of another

The race detector found it in the test's own code, not in the program; with it mended the new tests pass under it, beside the long-standing ones of clients that leave and of faults of peers.

--- a/cmd/bramblefall/moments_test.go
+++ b/cmd/bramblefall/moments_test.go
@@ -184,9 +184,10 @@
 			break
 		}
 		_ = conn.SetDeadline(time.Now().Add(patience))
+		text := command(ask(fmt.Sprint("id", n))...)
 		go func() {
 			defer conn.Close()
-			_, _ = io.WriteString(conn, command(ask(fmt.Sprint("id", n))...))
+			_, _ = io.WriteString(conn, text)
 			answer, _ := io.ReadAll(io.LimitReader(conn, int64(len("$1\r\nv\r\n"))))
 			done <- string(answer)
 		}()
