--- a/internal/scale/sweeps.go
+++ b/internal/scale/sweeps.go
@@ -244,7 +244,9 @@
 		{"discovery", "all", "tenants_known", "discovery tells nothing of tenants"},
 		{"counter", "all", "servers", "the counter hears nothing of servers"},
 		{"counter", "processor", "tenants_active", "its cost goes by its calls, which are measured: see the limiter's messages against tenants_active and the counter's against requests"},
-		{"distribution", "processor", "servers", "the program has no distribution of its list but discovery"},
+		{"distribution", "all", "servers", "what operators distribute names no servers: those are discovery's"},
+		{"distribution", "all", "requests", "a change of plans is told to a limiter whatever it serves"},
+		{"tools", "all", "servers", "the operators' service shows plans and reservations, no servers"},
 		{"limiter", "all", "tenants_known above 100000", "the plan book takes 100,000 firms at most, the target has 510,000 tenants"},
 	}
 }
