Scale rig: the quota's error and the moments in the model's time are part of a run

What firms that ask cost a limiter's memory is measured from where the same rate of one firm had brought it: before, the slope was negative (-1048 bytes with 507), for the rate's own memory lay over it.

--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -75,7 +75,7 @@
 // QuickSizes are those of --quick.
 func QuickSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(1000, hollowProcesses), FleetServers: 100, Servers: spread(10_000, 1), Changes: []float64{0.8, 3, 8, 25, 80},
-		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(3000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
+		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(2000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
 		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace}
 }
 
@@ -116,6 +116,7 @@
 	Seed   uint64
 	Quick  bool
 	Sizes  Sizes
+	Model  bool                            // the quota's error and the moments in the model's time, too
 	Binary string                          // the limiter's program, its evaluator beside it; "": built from here
 	Listen string                          // where the stand-in discovery listens for hollow limiters; "": a free port of loopback
 	Child  func(role string) *exec.Cmd     // starts a child process of the rig
@@ -147,6 +148,7 @@
 	unanswered                                   int // calls of hollow limiters
 	lostWhy                                      string
 	clusters                                     chan clustersDone
+	thought                                      chan modelled // nil: the model has not begun
 }
 
 // Run measures. The figures are those that there are, also where it gives an error: then they are partial and say why.
@@ -227,11 +229,22 @@
 		{"moments", r.moments},
 		{"added time with control", r.withControl},
 		{"changes", r.changes},
+		{"the model", func() error {
+			if r.Quick {
+				return r.model()
+			}
+			return nil
+		}},
 		{"servers", r.lists},
 		{"tenants", r.tenants},
 		{"operators", r.tools},
 		{"services", r.services},
-		{"model", r.model},
+		{"the model, at its own sizes", func() error {
+			if r.Quick {
+				return nil
+			}
+			return r.model()
+		}},
 	} {
 		r.stage(step.name)
 		if err := step.do(); err != nil {
@@ -814,6 +827,9 @@
 	if err := r.grow(fewHollow); err != nil {
 		return err
 	}
+	if r.Model && r.Quick {
+		r.think()
+	}
 	r.ledger.held["changes"] = fmt.Sprintf("%d hollow limiters without calls, %d real ones without requests, %d servers; each change names one server",
 		fewHollow, len(r.real), r.listed)
 	for _, p := range r.hollow {
--- a/internal/scale/sweeps.go
+++ b/internal/scale/sweeps.go
@@ -30,9 +30,15 @@
 	r.ledger.held["tenants_active"] = fmt.Sprintf("each size on a real limiter of its own; %g requests a second of each, of a plan that bounds nothing; %d servers, no change; memory is what came on top", activeRate, r.listed)
 	var targets []LoadTarget
 	var before []float64
+	for k := range sizes { // at first one firm each: what the rate itself takes is not the firms'
+		targets = append(targets, LoadTarget{Addr: r.real[k].addr, PerSecond: activeRate, Firms: 1, FirstFirm: uint64(k+100) << 20, Spread: firmSpread, First: k, Tier: tiers[1].Name, InTurn: true})
+	}
+	if _, _, err := r.window(r.Sizes.Window, targets, nil); err != nil {
+		return err
+	}
 	for k, n := range sizes {
 		before = append(before, resident(r.real[k].pid))
-		targets = append(targets, LoadTarget{Addr: r.real[k].addr, PerSecond: activeRate, Firms: n, FirstFirm: uint64(k+100) << 20, Spread: firmSpread, First: k, Tier: tiers[1].Name, InTurn: true})
+		targets[k].Firms = n
 	}
 	lasts := max(r.Sizes.Window, time.Duration(1.1*float64(sizes[len(sizes)-1])/activeRate*float64(time.Second))-r.Sizes.Settle)
 	x, _, err := r.window(lasts, targets, nil)
