--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -29,7 +29,8 @@
 	firmsPerRate  = 4.25 // firms that a limiter sees for each request a second: 268 at 63
 	firmSpread    = 3
 	usualGrace    = 500 * time.Millisecond
-	mostBeside    = 1000 // hollow limiters while added time is measured
+	serversEach   = 10  // servers for each limiter: 57,000 for 5,700
+	mostBeside    = 100 // hollow limiters while added time is held against its bound
 	serverWork    = 2 * time.Millisecond
 )
 
@@ -74,7 +75,7 @@
 // QuickSizes are those of --quick.
 func QuickSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(1000, hollowProcesses), FleetServers: 100, Servers: spread(10_000, 1), Changes: []float64{0.8, 3, 8, 25, 80},
-		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(3000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
+		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(2000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
 		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace}
 }
 
@@ -115,6 +116,7 @@
 	Seed   uint64
 	Quick  bool
 	Sizes  Sizes
+	Model  bool                            // the quota's error and the moments in the model's time, too
 	Binary string                          // the limiter's program, its evaluator beside it; "": built from here
 	Listen string                          // where the stand-in discovery listens for hollow limiters; "": a free port of loopback
 	Child  func(role string) *exec.Cmd     // starts a child process of the rig
@@ -146,6 +148,7 @@
 	unanswered                                   int // calls of hollow limiters
 	lostWhy                                      string
 	clusters                                     chan clustersDone
+	thought                                      chan modelled // nil: the model has not begun
 }
 
 // Run measures. The figures are those that there are, also where it gives an error: then they are partial and say why.
@@ -226,11 +229,22 @@
 		{"moments", r.moments},
 		{"added time with control", r.withControl},
 		{"changes", r.changes},
+		{"the model", func() error {
+			if r.Quick {
+				return r.model()
+			}
+			return nil
+		}},
 		{"servers", r.lists},
 		{"tenants", r.tenants},
 		{"operators", r.tools},
 		{"services", r.services},
-		{"model", r.model},
+		{"the model, at its own sizes", func() error {
+			if r.Quick {
+				return nil
+			}
+			return r.model()
+		}},
 	} {
 		r.stage(step.name)
 		if err := step.do(); err != nil {
@@ -250,6 +264,10 @@
 
 func (r *run) fleetSize() int { return r.Sizes.Fleet[len(r.Sizes.Fleet)-1] + r.Sizes.Real }
 
+// believed is the size of the fleet that the real limiters' settings name: the target's by the servers that are listed, so that
+// their bounds on tries are as there, where each limiter has ten servers.
+func (r *run) believed() int { return max(r.Sizes.Real+1, r.Sizes.FleetServers/serversEach) }
+
 func (r *run) start() error {
 	for role, p := range map[string]**process{discoveryRole: &r.discovery, counterRole: &r.counter, serversRole: &r.servers, loadRole: &r.load, operatorsRole: &r.operators} {
 		var err error
@@ -275,7 +293,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			l, err := r.limiter(k, r.fleetSize(), "")
+			l, err := r.limiter(k, r.believed(), "")
 			if err != nil {
 				first.set(err)
 			}
@@ -369,7 +387,7 @@
 		go func() {
 			defer wg.Done()
 			// A bit longer than the window at its beginning: connections are up when it starts.
-			first.set(r.f.call(r.load, "Role.Run", LoadRun{targets, lasts + r.Sizes.Settle, r.Seed + uint64(now())}, &got))
+			first.set(r.f.call(r.load, "Role.Run", LoadRun{targets, r.Sizes.Settle, lasts + r.Sizes.Settle, r.Seed}, &got))
 		}()
 		if err := r.f.wait(r.Sizes.Settle); err != nil {
 			return x, got, err
@@ -429,7 +447,7 @@
 }
 
 func (r *run) added(rate float64, control bool, got Loaded) {
-	r.figures.Added = append(r.figures.Added, AddedTime{PerSecond: rate, Control: control, P50: got.P50, P99: got.P99, Requests: got.Served,
+	r.figures.Added = append(r.figures.Added, AddedTime{PerSecond: rate, Control: control, P50: got.P50, P99: got.P99, Requests: got.Timed,
 		Limiters: r.hollows() + len(r.real), Servers: r.listed, Refused: got.Refused, Lost: got.Lost})
 	r.say("%g requests a second of each limiter: 99 in 100 wait %.2f ms longer (half: %.2f); %d refused, %d lost", rate, got.P99, got.P50, got.Refused, got.Lost)
 }
@@ -444,7 +462,7 @@
 // requests sweeps the rate of requests, with no change and no hollow limiter.
 func (r *run) requests() error {
 	r.ledger.held["requests"] = fmt.Sprintf("%d real limiters of a fleet of %d by the settings, no hollow one, %d servers, no change, %.3g firms for each request a second, within their quotas",
-		len(r.real), r.fleetSize(), r.listed, firmsPerRate)
+		len(r.real), r.believed(), r.listed, firmsPerRate)
 	for _, rate := range r.Sizes.Rates {
 		x, got, err := r.window(r.Sizes.Window, r.usual(rate), nil)
 		if err != nil {
@@ -466,7 +484,7 @@
 // besideServers measures straight to the servers what the last added time measured through limiters.
 func (r *run) besideServers(rate float64) error {
 	var got Loaded
-	if err := r.f.call(r.load, "Role.Run", LoadRun{r.straight(rate), r.Sizes.Window / 2, r.Seed}, &got); err != nil {
+	if err := r.f.call(r.load, "Role.Run", LoadRun{r.straight(rate), r.Sizes.Settle, r.Sizes.Settle + r.Sizes.Window/2, r.Seed}, &got); err != nil {
 		return err
 	}
 	r.figures.Added[len(r.figures.Added)-1].Straight = got.P99
@@ -691,7 +709,7 @@
 	var load Loaded
 	done := make(chan error, 1)
 	go func() {
-		done <- r.f.call(r.load, "Role.Run", LoadRun{r.usual(targetRate), 2*between + time.Second, r.Seed}, &load)
+		done <- r.f.call(r.load, "Role.Run", LoadRun{r.usual(targetRate), 0, 2*between + time.Second, r.Seed}, &load)
 	}()
 	for k, state := range []string{"gone", "ready"} {
 		if err := r.f.wait(between); err != nil {
@@ -763,7 +781,11 @@
 // withControl measures the added time with the whole fleet and the target's rate of changes.
 func (r *run) withControl() error {
 	if n := r.hollows(); n > mostBeside {
-		// A burst told to all of them would cost this machine more than it has: their processor time is not a real limiter's.
+		// A change told to all of them takes all of this machine for a moment, which is not what a limiter has a machine of its
+		// own for: what bounds are held against is measured beside few.
+		if err := r.controlled(targetRate); err != nil {
+			return err
+		}
 		if err := r.shrink(); err != nil {
 			return err
 		}
@@ -772,19 +794,24 @@
 		}
 	}
 	for _, rate := range []float64{targetRate, moreRequests * targetRate} {
-		lasts := max(r.Sizes.Window, burstLasts+time.Second)
-		_, got, err := r.window(lasts, r.usual(rate), r.targetControl(lasts))
-		if err != nil {
-			return err
-		}
-		r.added(rate, true, got)
-		if err := r.besideServers(rate); err != nil {
+		if err := r.controlled(rate); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// controlled measures the added time at a rate of requests with the target's changes.
+func (r *run) controlled(rate float64) error {
+	lasts := max(r.Sizes.Window, burstLasts+time.Second)
+	_, got, err := r.window(lasts, r.usual(rate), r.targetControl(lasts))
+	if err != nil {
+		return err
+	}
+	r.added(rate, true, got)
+	return r.besideServers(rate)
+}
+
 // targetControl is the target's mean rate of changes with a burst.
 func (r *run) targetControl(lasts time.Duration) []Steady {
 	return []Steady{{PerSecond: targetChanges, First: 100 * time.Millisecond, For: lasts - burstLasts}, {PerSecond: burstChanges, For: burstLasts}}
@@ -800,6 +827,9 @@
 	if err := r.grow(fewHollow); err != nil {
 		return err
 	}
+	if r.Model && r.Quick {
+		r.think()
+	}
 	r.ledger.held["changes"] = fmt.Sprintf("%d hollow limiters without calls, %d real ones without requests, %d servers; each change names one server",
 		fewHollow, len(r.real), r.listed)
 	for _, p := range r.hollow {
@@ -857,13 +887,7 @@
 	if err := r.goAndComeBack("zone", Change{To: r.listed, Step: len(zones)}, r.Sizes.Settle); err != nil {
 		return err
 	}
-	lasts := max(r.Sizes.Window, burstLasts+time.Second)
-	_, got, err := r.window(lasts, r.usual(targetRate), r.targetControl(lasts))
-	if err != nil {
-		return err
-	}
-	r.added(targetRate, true, got)
-	if err := r.besideServers(targetRate); err != nil {
+	if err := r.controlled(targetRate); err != nil {
 		return err
 	}
 	var size [2]int
--- a/internal/scale/sweeps.go
+++ b/internal/scale/sweeps.go
@@ -30,9 +30,15 @@
 	r.ledger.held["tenants_active"] = fmt.Sprintf("each size on a real limiter of its own; %g requests a second of each, of a plan that bounds nothing; %d servers, no change; memory is what came on top", activeRate, r.listed)
 	var targets []LoadTarget
 	var before []float64
+	for k := range sizes { // at first one firm each: what the rate itself takes is not the firms'
+		targets = append(targets, LoadTarget{Addr: r.real[k].addr, PerSecond: activeRate, Firms: 1, FirstFirm: uint64(k+100) << 20, Spread: firmSpread, First: k, Tier: tiers[1].Name, InTurn: true})
+	}
+	if _, _, err := r.window(r.Sizes.Window, targets, nil); err != nil {
+		return err
+	}
 	for k, n := range sizes {
 		before = append(before, resident(r.real[k].pid))
-		targets = append(targets, LoadTarget{Addr: r.real[k].addr, PerSecond: activeRate, Firms: n, FirstFirm: uint64(k+100) << 20, Spread: firmSpread, First: k, Tier: tiers[1].Name, InTurn: true})
+		targets[k].Firms = n
 	}
 	lasts := max(r.Sizes.Window, time.Duration(1.1*float64(sizes[len(sizes)-1])/activeRate*float64(time.Second))-r.Sizes.Settle)
 	x, _, err := r.window(lasts, targets, nil)
@@ -216,7 +222,7 @@
 
 // fresh starts a limiter beside the longest list and sees whether it can take it in: a line of discovery has a bound.
 func (r *run) fresh() error {
-	l, err := r.limiter(len(r.real), r.fleetSize(), "")
+	l, err := r.limiter(len(r.real), r.believed(), "")
 	if err != nil {
 		return err
 	}
@@ -244,7 +250,9 @@
 		{"discovery", "all", "tenants_known", "discovery tells nothing of tenants"},
 		{"counter", "all", "servers", "the counter hears nothing of servers"},
 		{"counter", "processor", "tenants_active", "its cost goes by its calls, which are measured: see the limiter's messages against tenants_active and the counter's against requests"},
-		{"distribution", "processor", "servers", "the program has no distribution of its list but discovery"},
+		{"distribution", "all", "servers", "what operators distribute names no servers: those are discovery's"},
+		{"distribution", "all", "requests", "a change of plans is told to a limiter whatever it serves"},
+		{"tools", "all", "servers", "the operators' service shows plans and reservations, no servers"},
 		{"limiter", "all", "tenants_known above 100000", "the plan book takes 100,000 firms at most, the target has 510,000 tenants"},
 	}
 }
