Quota: what firms lose of the requests that were inside their quota

Refused with room holds the tries of firms that ask for more than their quota, too. The share refused of the requests that one limiter that saw all would have let in is what a firm within its quota feels.

--- a/internal/model/audit.go
+++ b/internal/model/audit.go
@@ -120,6 +120,7 @@
 type TierResult struct {
 	Tries, Refused, RoomRefused int
 	Units, Beyond               float64 // sent on
+	Inside, InsideRefused       int     // tries of requests that were inside the quota as asked for; of these refused
 }
 
 // HallResult is what the limiters of a hall sent on.
@@ -204,6 +205,9 @@
 	if a.counts(r) {
 		a.r.Tries++
 		a.tries[r.f.tier]++
+		if r.first.asked {
+			a.tiers[r.f.tier].Inside++
+		}
 	}
 }
 
@@ -368,6 +372,9 @@
 	}
 	a.r.Refused++
 	a.refuse[r.f.tier]++
+	if r.first.asked {
+		a.tiers[r.f.tier].InsideRefused++
+	}
 	if r.f.truth.room(a.w.sim.now) >= 0.5 {
 		a.r.RoomRefused++
 		a.tiers[r.f.tier].RoomRefused++
--- a/internal/model/counter_test.go
+++ b/internal/model/counter_test.go
@@ -43,11 +43,15 @@
 		for _, tier := range r.Tiers {
 			sum.Tries, sum.Refused, sum.RoomRefused = sum.Tries+tier.Tries, sum.Refused+tier.Refused, sum.RoomRefused+tier.RoomRefused
 			sum.Units, sum.Beyond = sum.Units+tier.Units, sum.Beyond+tier.Beyond
+			require.Positive(t, tier.Inside)
+			require.Less(t, tier.Inside, tier.Tries, "heavy firms ask for more")
+			require.LessOrEqual(t, tier.InsideRefused, min(tier.Inside, tier.Refused))
 		}
 		for _, hall := range r.Halls {
 			units, beyond = units+hall.Units, beyond+hall.Beyond
 		}
-		require.Equal(t, TierResult{r.Tries, r.Refused, r.RoomRefused, r.SentUnits, r.BeyondUnits}, sum)
+		require.Equal(t, TierResult{Tries: r.Tries, Refused: r.Refused, RoomRefused: r.RoomRefused, Units: r.SentUnits,
+			Beyond: r.BeyondUnits}, sum)
 		require.Equal(t, []float64{r.SentUnits, r.BeyondUnits}, []float64{units, beyond})
 	}
 }
--- a/internal/scale/figures.go
+++ b/internal/scale/figures.go
@@ -50,6 +50,7 @@
 	Calls      float64 `json:"calls"`          // a second, of all limiters
 	Lost       float64 `json:"lost"`           // share of the calls that brought nothing of use at all, turned away or too late
 	Tries      int     `json:"tries"`          // of this plan, over the seeds
+	Inside     float64 `json:"inside_refused"` // share refused of the tries of requests that were inside the quota as asked for
 	RoomSpread float64 `json:"room_spread"`    // of RefusedWithRoom over the seeds, standard deviation
 }
 
--- a/internal/scale/quota.go
+++ b/internal/scale/quota.go
@@ -210,18 +210,20 @@
 		if tier >= 0 {
 			q.Plan, q.Held = s.Tiers[tier].Name, ""
 		}
-		var beyond, room, each, unanswered, lost, rate, calls []float64
+		var beyond, room, inside, each, unanswered, lost, rate, calls []float64
 		for _, d := range done {
 			var t model.TierResult
 			for k, x := range d.Result.Tiers {
 				if tier < 0 || k == tier {
 					t.Tries, t.RoomRefused = t.Tries+x.Tries, t.RoomRefused+x.RoomRefused
+					t.Inside, t.InsideRefused = t.Inside+x.Inside, t.InsideRefused+x.InsideRefused
 					t.Units, t.Beyond = t.Units+x.Units, t.Beyond+x.Beyond
 				}
 			}
 			c, span := d.Result.Called, s.Seconds-s.Warm
 			q.Tries += t.Tries
 			beyond = append(beyond, t.Beyond/max(t.Units, 1))
+			inside = append(inside, float64(t.InsideRefused)/float64(max(t.Inside, 1)))
 			room = append(room, float64(t.RoomRefused)/float64(max(t.Tries, 1)))
 			each = append(each, float64(c.Made)/float64(max(d.Result.Requests, 1)))
 			unanswered, lost = append(unanswered, c.Unanswered()), append(lost, c.Lost())
@@ -229,6 +231,7 @@
 		}
 		q.Beyond, q.Spread = meanAndDeviation(beyond)
 		q.RefusedWithRoom, q.RoomSpread = meanAndDeviation(room)
+		q.Inside, _ = meanAndDeviation(inside)
 		q.CallsPerRequest, _ = meanAndDeviation(each)
 		q.Unanswered, _ = meanAndDeviation(unanswered)
 		q.Lost, _ = meanAndDeviation(lost)
@@ -254,7 +257,7 @@
 
 // QuotaTable is the figures as a table: the sums over plans, or those of each plan.
 func QuotaTable(list []QuotaError, byPlan bool) *lab.Table {
-	t := &lab.Table{Name: "quota", Head: []string{"load", "limiters", "counter", "requests/s", "beyond %", "±", "refused with room %", "±",
+	t := &lab.Table{Name: "quota", Head: []string{"load", "limiters", "counter", "requests/s", "beyond %", "±", "refused with room %", "±", "refused inside %",
 		"calls a request", "calls/s", "unanswered %", "lost %"}}
 	if byPlan {
 		t.Name, t.Head = "quota-plans", slices.Insert(t.Head, 3, "plan")
@@ -264,7 +267,7 @@
 			continue
 		}
 		cells := []any{q.Set, q.Limiters, speedName(q.Speed, q.Free), fmt.Sprintf("%.0f", q.PerSecond), percent(q.Beyond), percent(q.Spread),
-			percent(q.RefusedWithRoom), percent(q.RoomSpread), fmt.Sprintf("%.2f", q.CallsPerRequest), fmt.Sprintf("%.0f", q.Calls),
+			percent(q.RefusedWithRoom), percent(q.RoomSpread), percent(q.Inside), fmt.Sprintf("%.2f", q.CallsPerRequest), fmt.Sprintf("%.0f", q.Calls),
 			percent(q.Unanswered), percent(q.Lost)}
 		if byPlan {
 			cells = slices.Insert(cells, 3, any(q.Plan))
