--- a/internal/model/audit.go
+++ b/internal/model/audit.go
@@ -91,6 +91,7 @@
 	Attempts         int
 	WorthAsked       float64 // inside the quotas
 	WorthServed      float64
+	UnitsAsked       float64 // by all that was counted, also beyond quotas
 	SentUnits        float64
 	BeyondUnits      float64
 	RoomRefused      int // refused while half of the quota was left
@@ -120,6 +121,7 @@
 type TierResult struct {
 	Tries, Refused, RoomRefused int
 	Units, Beyond               float64 // sent on
+	Inside, InsideRefused       int     // tries of requests that were inside the quota as asked for; of these refused
 }
 
 // HallResult is what the limiters of a hall sent on.
@@ -194,6 +196,7 @@
 		return
 	}
 	a.r.Requests++
+	a.r.UnitsAsked += r.units
 	if r.asked {
 		a.r.WorthAsked += a.worth(r)
 	}
@@ -203,6 +206,9 @@
 	if a.counts(r) {
 		a.r.Tries++
 		a.tries[r.f.tier]++
+		if r.first.asked {
+			a.tiers[r.f.tier].Inside++
+		}
 	}
 }
 
@@ -371,6 +377,9 @@
 	}
 	a.r.Refused++
 	a.refuse[r.f.tier]++
+	if r.first.asked {
+		a.tiers[r.f.tier].InsideRefused++
+	}
 	if r.f.truth.room(a.w.sim.now) >= 0.5 {
 		a.r.RoomRefused++
 		a.tiers[r.f.tier].RoomRefused++
