--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -266,6 +266,22 @@
 	assert.Equal(t, told, Check(told, one, other).Page)
 }
 
+func TestOfOneRunOfTheModelInTwoFilesTheLastIsTaken(t *testing.T) {
+	f := figuresOfATest()
+	longer := File{"b.json", scale.Figures{Version: 1, Quota: []scale.QuotaError{f.Quota[0]}}}
+	longer.Quota[0].Beyond = 0.03
+	for want, from := range map[float64][]File{0.07: {longer, f}, 0.03: {f, longer}} {
+		r := &reviewer{figures: merge(from), names: values{}}
+		n, err := r.evaluate(`quota("all", "beyond", limiters=570)`)
+		require.NoError(t, err)
+		assert.Equal(t, want, n.value)
+	}
+	f.Quota = append(f.Quota, f.Quota[0])
+	r := &reviewer{figures: merge([]File{f}), names: values{}}
+	_, err := r.evaluate(`quota("all", "beyond", limiters=570)`)
+	assert.ErrorContains(t, err, "2 runs of the model", "twice in one file")
+}
+
 func TestOfSeveralSlopesOneIsNamed(t *testing.T) {
 	f := figuresOfATest()
 	more := f.Slopes[1]
--- a/internal/capacity/eval.go
+++ b/internal/capacity/eval.go
@@ -61,6 +61,7 @@
 func merge(from []File) *figures {
 	f := &figures{slopes: map[slopeKey][]scale.Slope{}, files: map[usedSlope]string{}}
 	for _, x := range from {
+		var own []scale.QuotaError // of this file
 		if x.Version != 1 {
 			f.findings = append(f.findings, Finding{0, fmt.Sprintf("figures of version %d, where 1 is known", x.Version)})
 		}
@@ -78,7 +79,17 @@
 			f.slopes[key] = append(f.slopes[key], s)
 			f.files[keyOf(s)] = path.Base(filepath.ToSlash(x.Name))
 		}
-		f.quota = append(f.quota, x.Quota...)
+		for _, q := range x.Quota { // of one run in several files the last file's is taken
+			same := func(o scale.QuotaError) bool {
+				return o.Plan == q.Plan && o.Set == q.Set && o.Limiters == q.Limiters && o.Counters == q.Counters && o.Speed == q.Speed && o.Free == q.Free
+			}
+			if at := slices.IndexFunc(f.quota, same); at >= 0 && !slices.ContainsFunc(own, same) {
+				f.quota[at] = q
+			} else {
+				f.quota = append(f.quota, q)
+			}
+			own = append(own, q)
+		}
 		f.moments = append(f.moments, x.Moments...)
 		f.added = append(f.added, x.Added...)
 	}
