The module and the reducer know several counters: names dealt out, hand-over, one answer to a call

internal/spread deals names out by rendezvous hashing and hands them over when the list changes; the reducer makes one effect for each counter of a name and joins the answers; the module keeps a budget, a share of calls and a pause for each counter. Nothing of the program names several counters yet. Seen to fail: the property of the hand-over without the part of what was added to the former counter alone.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 
 	"bramblefall/internal/plans"
 	"bramblefall/internal/reserve"
+	"bramblefall/internal/spread"
 	"bramblefall/logic"
 )
 
@@ -97,13 +98,14 @@
 // Fail ends a request context that may have run (effect).
 type Fail struct{ Origin Origin }
 
-// Count calls the counter, if that can be done before Until (effect).
+// Count calls a counter, if that can be done before Until (effect).
 type Count struct {
-	Call   uint64
-	Name   uint64
-	Amount float64
-	Lives  time.Duration
-	Until  time.Duration
+	Call    uint64
+	Counter int // 0: the platform's, unless a list names others
+	Name    uint64
+	Amount  float64
+	Lives   time.Duration
+	Until   time.Duration
 }
 
 // CloseIdle closes the idle connections to a server (effect).
@@ -135,6 +137,7 @@
 	countTimer
 	planTimer    // a version or a reservation is due
 	reserveTimer // reservations in use are looked after
+	listTimer    // a former list of counters is over
 )
 
 type requestContext struct {
@@ -152,26 +155,22 @@
 	out    bool
 }
 
-type call struct {
-	name   uint64
-	at     time.Duration
-	result *logic.CountResult // its answer, while one to an earlier call of the name is due
-}
-
 // Reducer owns all that the limiter knows. It is not safe for concurrent use: one goroutine owns it.
 type Reducer struct {
 	set      logic.Settings
 	gateway  *logic.Gateway
 	book     *plans.Book
 	reserves *reserve.Manager
-	leases   map[uint64]uint64 // tokens of the reserves' calls, by call
-	planned  time.Duration     // when the earliest plan timer rings; 0: none is set
-	tending  bool              // the reserve timer is set
+	planned  time.Duration // when the earliest plan timer rings; 0: none is set
+	tending  bool          // the reserve timer is set
 	tally    Tally
 	now      time.Duration
 	requests map[uint64]*requestContext
-	calls    map[uint64]*call
-	due      map[uint64][]uint64 // calls without an answer, by name, in their order
+	ring     *spread.Ring       // nil: there is one counter
+	relistAt time.Duration      // when the list timer rings; 0: it is not set
+	calls    map[uint64]part    // by effect
+	due      map[uint64][]*call // calls of the module that it has not been told the answer to, by name, in their order
+	unmade   []*call            // that no counter could be asked
 	groups   map[logic.ServerID]int
 	next     uint64
 	effects  []Effect
@@ -182,8 +181,8 @@
 // New makes a reducer round a module with these settings. The book's plans go before the settings'.
 func New(set logic.Settings, seed uint64, book *plans.Book) *Reducer {
 	r := &Reducer{set: set, gateway: logic.New(set, seed), requests: map[uint64]*requestContext{},
-		calls: map[uint64]*call{}, due: map[uint64][]uint64{}, groups: map[logic.ServerID]int{}, book: book,
-		reserves: reserve.New(set.Gateways, set.Rank, set.MostUnits), leases: map[uint64]uint64{}}
+		calls: map[uint64]part{}, due: map[uint64][]*call{}, groups: map[logic.ServerID]int{}, book: book,
+		reserves: reserve.New(set.Gateways, set.Rank, set.MostUnits)}
 	r.gateway.Use(book, r.reserves)
 	return r
 }
@@ -216,16 +215,29 @@
 		r.tell(logic.Closing{})
 	case Ask:
 		r.ask(e)
+	case Counters:
+		r.relist(e)
 	case Timer:
 		r.rang(e)
 	}
+	r.settle()
+	return r.effects
+}
+
+// settle does what a step has left over, until nothing is.
+func (r *Reducer) settle() {
 	r.lease()
-	for len(r.moot) > 0 {
-		o := r.moot[0]
-		r.moot = r.moot[1:]
-		r.tell(o)
+	for len(r.moot)+len(r.unmade) > 0 {
+		if len(r.moot) > 0 {
+			o := r.moot[0]
+			r.moot = r.moot[1:]
+			r.tell(o)
+			continue
+		}
+		c := r.unmade[0]
+		r.unmade = r.unmade[1:]
+		r.joined(c)
 	}
-	return r.effects
 }
 
 const soon = 10 * time.Millisecond
@@ -367,39 +379,6 @@
 	r.tell(logic.ClientGone{ID: id})
 }
 
-func (r *Reducer) count(a logic.Count) {
-	r.next++
-	r.calls[r.next] = &call{name: a.Name, at: r.now}
-	r.due[a.Name] = append(r.due[a.Name], r.next)
-	until := r.now + max(r.set.CounterLimit, a.Wait)
-	r.do(Count{r.next, a.Name, a.Amount, a.Lives, until})
-	r.do(SetTimer{until, Timer{countTimer, Key{ID: r.next}}})
-}
-
-// counted passes on the first word on a call: an answer that comes after its time-out changes nothing. The module is told in
-// the order of the calls for a name, which is how it knows them apart: after a move, the answer on the new connection may come
-// before one that is due on the old.
-func (r *Reducer) counted(e CountResult) {
-	if token, ok := r.leases[e.Call]; ok {
-		delete(r.leases, e.Call)
-		r.reserves.Counted(r.now, token, e.Status, e.Total)
-		return
-	}
-	c, ok := r.calls[e.Call]
-	if !ok || c.result != nil {
-		return
-	}
-	c.result = &logic.CountResult{Name: c.name, Status: e.Status, Total: e.Total, Latency: r.now - c.at}
-	for due := r.due[c.name]; len(due) > 0 && r.calls[due[0]].result != nil; due = r.due[c.name] {
-		answer := r.calls[due[0]].result
-		delete(r.calls, due[0])
-		if r.due[c.name] = due[1:]; len(due) == 1 {
-			delete(r.due, c.name)
-		}
-		r.tell(*answer)
-	}
-}
-
 func (r *Reducer) rang(t Timer) {
 	switch t.kind {
 	case moduleTimer:
@@ -410,6 +389,9 @@
 		}
 	case countTimer:
 		r.counted(CountResult{Call: t.key.ID, Status: logic.Timeout})
+	case listTimer:
+		r.relistAt = 0
+		r.advance()
 	case planTimer:
 		r.planned = 0
 		r.turn()
--- a/internal/core/plans.go
+++ b/internal/core/plans.go
@@ -110,7 +110,10 @@
 	r.reserves.Set(r.book.Reservations())
 	r.publish()
 	r.alarm()
-	r.lease()
+	if r.ring != nil {
+		r.counters()
+	}
+	r.settle()
 	return r.effects
 }
 
@@ -200,10 +203,8 @@
 			break
 		}
 		for _, c := range calls {
-			r.next++
-			r.leases[r.next] = c.Token
-			r.do(Count{r.next, c.Name, c.Amount, c.Lives, r.now + c.Wait})
-			r.do(SetTimer{r.now + c.Wait, Timer{countTimer, Key{ID: r.next}}})
+			r.call(&call{name: c.Name, amount: c.Amount, lives: c.Lives, at: r.now, until: r.now + c.Wait, lease: true, token: c.Token},
+				c.Began, 0)
 		}
 		for _, id := range spent {
 			r.book.Spend(id, r.now)
--- a/internal/reserve/reserve.go
+++ b/internal/reserve/reserve.go
@@ -58,6 +58,7 @@
 	Name        uint64
 	Amount      float64
 	Lives, Wait time.Duration
+	Began       time.Duration // from when on limiters may have added to the name
 }
 
 // Manager leases for all firms of one limiter.
@@ -344,7 +345,7 @@
 	m.next++
 	a.called, a.amount = k, amount
 	m.out[m.next] = a
-	m.calls = append(m.calls, Call{m.next, name, amount, lives, callWait})
+	m.calls = append(m.calls, Call{m.next, name, amount, lives, callWait, time.Duration(a.gen) * generation})
 }
 
 // name is that of a count of one generation: limiters agree on it without talk.
--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,231 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func addresses(n int) (all []string) {
+	for k := range n {
+		all = append(all, fmt.Sprintf("10.0.%d.%d:7000", k/256, k%256))
+	}
+	return all
+}
+
+// home is the address that a list deals a name to.
+func home(r *Ring, now time.Duration, name uint64) string {
+	return r.list.addrs[r.Of(now, name, now).To[0]] // numbered in the order of the list
+}
+
+// Guards against a library that deals otherwise after an upgrade: limiters of two builds would count apart.
+func TestNamesAreDealtAsBefore(t *testing.T) {
+	r := New(addresses(5))
+	var got []int
+	for name := range uint64(24) {
+		got = append(got, r.Of(0, name*0x9e3779b97f4a7c15, 0).To[0])
+	}
+	require.Equal(t, []int{0, 2, 1, 3, 4, 4, 4, 3, 2, 0, 0, 2, 4, 2, 4, 2, 3, 4, 3, 0, 0, 2, 2, 4}, got)
+}
+
+func TestACounterThatComesOrGoesMovesOnlyItsShare(t *testing.T) {
+	const names = 20_000
+	for _, n := range []int{2, 5, 16, 32, 1024} {
+		all := addresses(n + 1)
+		fewer, more := New(all[:n]), New(all)
+		moved, most := 0, map[string]int{}
+		for name := range uint64(names) {
+			a, b := home(fewer, 0, name<<32|name), home(more, 0, name<<32|name)
+			if most[b]++; a != b {
+				moved++
+				require.Equal(t, all[n], b, "a name goes to the counter that came, or stays")
+			}
+		}
+		share := 1 / float64(n+1)
+		require.InDelta(t, share, float64(moved)/names, 5*share/10+0.001, "%d counters", n)
+		require.Len(t, most, n+1)
+	}
+}
+
+// The order in a file and an address that stands twice change nothing.
+func TestTheOrderOfAListSaysNothing(t *testing.T) {
+	a := addresses(4)
+	r := New(a)
+	require.False(t, r.Set(time.Second, []string{a[2], a[0], a[3], a[1], a[0]}))
+	require.Equal(t, 4, r.Len())
+	require.Equal(t, Targets{To: r.Of(0, 7, 0).To, Oldest: r.Of(0, 7, 0).To[0]}, r.Of(time.Minute, 7, time.Second))
+}
+
+// A name that has moved is added to on both counters while anybody may have added to it on the former, and no longer.
+func TestAMovedNameIsOnBothUntilItsLifeIsOver(t *testing.T) {
+	r := New(addresses(4))
+	const at = 100 * time.Second
+	require.True(t, r.Set(at, addresses(5)))
+	for name := range uint64(2000) {
+		before, after := New(addresses(4)).Of(0, name, 0).To[0], r.Of(at, name, at+Slack).To
+		require.Len(t, after, 1, "it began when all have the list")
+		got := r.Of(at+time.Second, name, at+Slack-1)
+		require.Equal(t, before, got.Oldest)
+		if before == after[0] {
+			require.Equal(t, after, got.To)
+		} else {
+			require.Equal(t, []int{after[0], before}, got.To)
+		}
+		require.Len(t, r.Of(at+Kept, name, at).To, 1, "its life is over")
+	}
+	end, due := r.Next()
+	require.True(t, due)
+	require.Equal(t, at+Kept, end)
+	require.False(t, r.Advance(end-1))
+	require.True(t, r.Advance(end))
+	require.Len(t, r.Addresses(), 5)
+	r.Set(end, addresses(3))
+	require.True(t, r.Advance(end+Kept))
+	require.Len(t, r.Addresses(), 3, "counters that left are forgotten")
+}
+
+// A list that changes every second, or comes and goes, must not multiply calls. What is given up is said: names without a
+// counter. Once it rests they are counted again.
+func TestAListThatChangesEverySecond(t *testing.T) {
+	r := New(addresses(3))
+	now := time.Hour
+	all := addresses(400)
+	for k := range 200 {
+		now += time.Second
+		r.Set(now, all[3*k%300:3*k%300+3]) // nothing of the list before is on it
+		require.LessOrEqual(t, len(r.formers), mostFormers)
+		for name := range uint64(50) {
+			require.LessOrEqual(t, len(r.Of(now, name, now).To), mostCalls)
+		}
+	}
+	require.Empty(t, r.Of(now, 1, now).To)
+	require.Len(t, r.Of(now+Slack, 1, now+Slack).To, 1)
+	r.Advance(now + Kept)
+	require.Len(t, r.Addresses(), 3)
+
+	r = New(addresses(3))
+	for k := range 100 {
+		now += time.Second
+		r.Set(now, addresses(4 - k%2))
+		require.LessOrEqual(t, len(r.formers), 2)
+		for name := range uint64(50) {
+			require.Contains(t, []int{1, 2}, len(r.Of(now, name, now).To), "a list that comes and goes")
+		}
+	}
+}
+
+// A process that starts cannot know whether the list has just changed.
+func TestAStartCountsNothingThatBeganBefore(t *testing.T) {
+	r := Start(time.Hour, addresses(3))
+	require.Empty(t, r.Of(time.Hour, 1, time.Hour+Slack-1).To)
+	require.Len(t, r.Of(time.Hour, 1, time.Hour+Slack).To, 1)
+}
+
+// Limiters hear of a change at different times and add to one name all the while; at some moment the former counter is lost.
+// What any of them believes is never under what was added, but for what others added to the former counter alone
+// after both had told it last.
+func TestNothingThatWasToldIsForgottenAtAMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, list := addresses(3), addresses(4)
+		name := uint64(0)
+		for one := New(list); home(one, 0, name) != list[3]; name++ {
+			continue
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		rng := rand.New(rand.NewPCG(seed, 1))
+		n := 1 + rng.IntN(5)
+		rings, heard := make([]*Ring, n), make([]time.Duration, n)
+		alone := make([]float64, n) // came to the former counter alone since this limiter was last told
+		for k := range rings {
+			rings[k], heard[k] = New(old), time.Minute+time.Duration(rng.Int64N(int64(Slack)))
+		}
+		lost := time.Minute + time.Duration(rng.Int64N(int64(2*Slack)))
+		totals, truth := map[string]float64{}, 0.0
+		for now := time.Minute - 5*time.Second; now < time.Minute+3*Slack; now += time.Duration(rng.Int64N(int64(300 * time.Millisecond))) {
+			k := rng.IntN(n)
+			r := rings[k]
+			if now >= heard[k] && r.Len() == len(old) {
+				r.Set(heard[k], list)
+			}
+			at := r.Addresses()
+			amount := float64(1 + rng.IntN(3))
+			targets := r.Of(now, name, time.Minute-5*time.Second)
+			var answers []Answer
+			added := false
+			for _, c := range targets.To {
+				addr := at[c]
+				if addr != list[3] && now >= lost || rng.IntN(20) == 0 && addr == list[3] { // the new one fails now and then
+					answers = append(answers, Answer{Counter: c})
+					continue
+				}
+				added = true
+				totals[addr] += amount
+				answers = append(answers, Answer{c, true, totals[addr]})
+			}
+			if !added {
+				continue
+			}
+			truth += amount
+			if !answers[0].OK || len(targets.To) == 1 {
+				for m := range alone {
+					if m != k {
+						alone[m] += amount
+					}
+				}
+			}
+			total, known := r.Join(now, name, amount, targets, answers)
+			if !known {
+				continue
+			}
+			if answers[len(answers)-1].OK {
+				if len(targets.To) == 1 || answers[0].OK {
+					alone[k] = 0
+				}
+				require.GreaterOrEqual(t, total, truth-1e-9)
+			}
+			require.GreaterOrEqual(t, total, truth-alone[k]-1e-9, "limiter %d at %v", k, now)
+		}
+	})
+}
+
+// A former counter that is wiped, or silent for one who never heard of the name.
+func TestWhatIsBelievedWithoutTheFormerCounter(t *testing.T) {
+	r := New(addresses(3))
+	one := r.Of(0, 0, 0)
+	_, known := r.Join(0, 0, 1, one, []Answer{{one.To[0], true, 40}})
+	require.True(t, known)
+	both := Targets{To: []int{9, one.To[0]}, Oldest: one.To[0]}
+	total, known := r.Join(0, 0, 1, both, []Answer{{9, true, 3}, {one.To[0], true, 5}})
+	require.True(t, known)
+	require.Equal(t, 43.0, total, "wiped: what it told, and what has come to the new one")
+	total, known = r.Join(0, 0, 1, both, []Answer{{9, true, 5}, {one.To[0], false, 0}})
+	require.True(t, known)
+	require.Equal(t, 45.0, total, "lost")
+	total, known = r.Join(0, 0, 2, both, []Answer{{9, false, 0}, {one.To[0], true, 44}})
+	require.True(t, known)
+	require.Equal(t, 47.0, total, "the new one is lost")
+	_, known = r.Join(0, 0, 1, both, []Answer{{9, false, 0}, {one.To[0], false, 0}})
+	require.False(t, known)
+	_, known = r.Join(0, 5, 1, both, []Answer{{9, true, 1}, {one.To[0], false, 0}})
+	require.False(t, known, "one that never heard of the name cannot know what was added before")
+	total, known = r.Join(0, 6, -1, both, []Answer{{9, true, -1}, {one.To[0], true, 3}})
+	require.True(t, known)
+	require.Equal(t, 3.0, total, "a slot given back that the new one never had")
+}
+
+func TestNothingIsRememberedForLong(t *testing.T) {
+	r := New(addresses(2))
+	for k := range 10 {
+		now := time.Duration(k) * time.Minute
+		for name := range uint64(1000) {
+			n := uint64(k)<<32 | name
+			targets := r.Of(now, n, now)
+			r.Join(now, n, 1, targets, []Answer{{targets.To[0], true, 1}})
+		}
+		require.LessOrEqual(t, len(r.told)+len(r.older), 2000)
+	}
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -66,6 +66,13 @@
 	Coming(now time.Duration, firm uint64) bool
 }
 
+// Counters tells which counters hold a name, where there are several. It does no I/O and reads no clock.
+type Counters interface {
+	// Counters is the numbers of the counters that a name is added to at time now, if gateways may have added to it from began
+	// on; none: what stands under it cannot be known.
+	Counters(now time.Duration, name uint64, began time.Duration) []int
+}
+
 // Settings are what a gateway is told at its start.
 type Settings struct {
 	Gateways, Rank int
@@ -216,6 +223,12 @@
 // Leased says that units of a firm's reservation have come, or that there are none any more (event).
 type Leased struct{ Customer uint64 }
 
+// CountersChanged says that the list of counters has changed (event).
+type CountersChanged struct {
+	Listed []int // the numbers of all that may be called
+	Among  int   // names are dealt out to so many of them
+}
+
 // Timer is an alarm that has rung (event).
 type Timer struct{ Token uint32 }
 
@@ -238,6 +251,14 @@
 	Status  Status
 	Total   float64
 	Latency time.Duration
+	Parts   []CountPart // what each counter that was called said, where there are several; nil: there is one, number 0
+}
+
+// CountPart is one counter's part in a call.
+type CountPart struct {
+	Counter int
+	Status  Status
+	Latency time.Duration
 }
 
 // Action is one of the types below that end in a comment "action".
@@ -293,6 +314,8 @@
 	Amount float64
 	Lives  time.Duration
 	Wait   time.Duration // for an answer, if that may be longer than the settings' limit; 0: that limit
+	Began  time.Duration // from when on gateways may have added to the name
+	Spared uint8         // bits: which of the name's counters, in their order, are not called
 }
 
 // Watch follows, or stops following, the list of servers (action).
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,13 +85,15 @@
 		requests: map[uint64]*request{}, tokens: map[uint32]*request{},
 		customers: map[uint64]*customer{}, servers: map[ServerID]*server{}, calls: map[uint64][]call{}, units: 1,
 		resting: map[uint64]rest{}, loads: map[uint64]word{}, logged: map[string]time.Duration{},
-		guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, size: math.Pow(max(s.MostUnits, 1), 0.25),
-		calling: 1 / (1 + 2*blind), dearest: priceOf(s.Plans), backoff: 500 * ms,
+		guess: guess, callsSaved: callsSaved, size: math.Pow(max(s.MostUnits, 1), 0.25),
+		dearest: priceOf(s.Plans), among: 1,
 		turnTime: max(tick, min(turnTime, time.Duration(turnShare*float64(aim)))),
 		longest:  make([]time.Duration, len(s.Classes))}
 	if g.fleet = g.group(0); blind > 0 { // what one of few may do is too much for a counter that many call
-		g.callsLeft, g.callsSaved = callsStored/2, callsStored
+		g.callsSaved = callsStored
 	}
+	g.counter = g.untold(0)
+	g.counters = []*counter{g.counter}
 	return g
 }
 
@@ -149,7 +151,9 @@
 	r.token = g.nextToken
 	g.requests[q.ID], g.tokens[r.token] = r, r
 	g.do(SetTimer{r.token, r.deadline - g.now}) // every accepted request owns a timer before its deadline
-	g.callsLeft = min(g.callsLeft+mostCalls*max(g.calling, 1-g.blind), g.callsSaved)
+	for _, k := range g.counters {              // each its share and as much again, for names fall unevenly
+		k.callsLeft = min(k.callsLeft+mostCalls*min(1, 2/float64(g.among))*max(k.calling, 1-g.blind), g.callsSaved)
+	}
 	g.units += 0.02 * (q.Units - g.units)
 	r.cust = g.customer(r)
 	r.cust.asked, r.cust.best = r.cust.asked+r.demand(g), max(r.cust.best, r.class.Worth)
@@ -340,12 +344,14 @@
 
 // count calls the counter for a customer's interval, unless calls fail or are used up.
 func (g *Gateway) count(c *customer, what int64, amount float64, r *request) bool {
-	if !g.set.HasCounter || g.now < g.counterUp || g.callsLeft < 1 {
-		return false
+	to, spared := g.bearing(c, what, 1)
+	for _, k := range to {
+		k.callsLeft--
 	}
-	g.callsLeft--
-	g.call(c, c.name(what), what, amount, r)
-	return true
+	if len(to) > 0 {
+		g.call(c, c.name(what), what, amount, r, spared)
+	}
+	return len(to) > 0
 }
 
 func (g *Gateway) counted(e CountResult) {
@@ -358,26 +364,12 @@
 	}
 	c, r := waiting[0].cust, waiting[0].req
 	g.current(c)
+	calling := g.heard(e)
 	if e.Status != OK {
-		// Fewer calls to a counter in trouble, none for a while to a silent or full one; no crowd afterwards. A
-		// connection that broke or brought noise says nothing of the counter.
-		if e.Status != Reset {
-			if g.failed++; g.failed == 1 {
-				g.borne = g.calling
-			}
-			g.calling, g.away = max(0.8*g.calling, leastCalling), g.failed >= silence && e.Status == ConnectFailed
-		}
-		if g.failed >= silence && e.Status != Reset {
-			g.counterUp = g.now + time.Duration((0.5+g.random())*float64(g.backoff))
-			g.backoff = min(2*g.backoff, lastCall)
-			if e.Status == Full {
-				g.backoff = min(2*g.backoff, lastFull)
-			}
-		}
 		if waiting[0].told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
 			after := max(g.set.CounterLimit, 3*tick)
 			if e.Status == Full { // it was not, so it is told again
-				c.told, after = 0, time.Duration(g.random()*float64(lateSums)/max(g.calling, crowded))
+				c.told, after = 0, time.Duration(g.random()*float64(lateSums)/max(calling, crowded))
 			}
 			g.reread(c, after)
 		}
@@ -392,13 +384,6 @@
 		}
 		return
 	}
-	if g.away { // nobody was there: that tells nothing of how many calls it bears
-		g.calling, g.away = g.borne, false
-	}
-	if g.blind > 0 && e.Latency > g.set.CounterLimit { // a crowd: a good answer, but too many calls
-		g.calling = max(0.95*g.calling, leastCalling)
-	}
-	g.backoff, g.failed, g.calling = 500*ms, 0, min(callsGrow*g.calling, 1)
 	switch what := waiting[0].what; {
 	case what == sums && e.Name == c.name(sums) && c.told > 0: // others are late: the part stays even
 		first := c.readAt == 0 && c.part == c.even()
@@ -489,7 +474,7 @@
 		g.later(r, c.shut-g.now)
 		return true
 	}
-	load, ask := g.load(c), r.draws < mostDraws && g.mayCall(c)
+	load, ask := g.load(c), r.draws < mostDraws && g.mayCall(c, what)
 	chance := 1 / max(load, 1)
 	if !ask && load > 0 {
 		chance = thinned / max(load, thinned)
@@ -561,13 +546,14 @@
 	if units = min(units, max(most, c.held[0].Units)) - c.credit; c.asking || units <= 0 {
 		return true
 	}
-	c.asking = g.now >= c.blind && g.mayCall(c) && g.count(c, tickets, units, nil)
+	c.asking = g.now >= c.blind && g.mayCall(c, tickets) && g.count(c, tickets, units, nil)
 	return c.asking
 }
 
 // mayCall keeps the last calls for the dearest plans.
-func (g *Gateway) mayCall(c *customer) bool {
-	return g.set.HasCounter && g.now >= g.counterUp && g.callsLeft >= 1+dearest*(1-c.plan.Price/g.dearest)
+func (g *Gateway) mayCall(c *customer, what int64) bool {
+	to, _ := g.bearing(c, what, 1+dearest*(1-c.plan.Price/g.dearest))
+	return len(to) > 0
 }
 
 // ---- pacing and caps
--- a/logic/state.go
+++ b/logic/state.go
@@ -295,47 +295,46 @@
 
 // Gateway holds what one gateway knows.
 type Gateway struct {
-	set                Settings
-	book               Book          // nil: the settings' plans stay
-	reserves           Reserves      // nil: there are none
-	figured            int           // changes of plans so far
-	changed, ticked    time.Duration // the last of these; the last tick
-	stale              []*customer   // not all of these have taken up the last change
-	rng                uint64
-	now, woke          time.Duration // woke: when this process last went on after a pause of its own
-	blind              float64       // share of the fleet's work that is not seen here, as far as it matters
-	started, watching  bool
-	actions            []Action
-	requests           map[uint64]*request
-	tokens             map[uint32]*request
-	nextToken          uint32
-	customers          map[uint64]*customer
-	firms              due.Queue[*customer] // each customer by the time when something is due for it
-	numbered           uint64               // customers so far
-	resting, rested    map[uint64]rest      // customers that are quiet: of late, and those before
-	turned             time.Duration        // the last time that those before were forgotten
-	servers            map[ServerID]*server
-	*fleet             // of group 0, the only one in the simulator
-	fleets             []*fleet
-	guess              float64    // of the latency, before the first answer
-	queue              []*request // through the first gate, waiting for a server
-	calls              map[uint64][]call
-	loads              map[uint64]word // of busy customers, also ones not seen here yet
-	units              float64         // of a request, smoothed
-	size               float64         // of a request, by the settings alone: all gateways must agree how a firm is counted
-	dearest            float64         // price of the dearest plan
-	turnTime           time.Duration   // of turns at a cap: the same at all gateways, by the settings
-	callsSaved         float64         // at most
-	callsLeft, calling float64         // calling: share of the calls that are made
-	failed             int             // calls in a row
-	borne              float64         // calling, before these
-	away               bool            // the last of them met nobody
-	began, second      time.Duration
-	counterUp, backoff time.Duration // no calls before
-	watchAt            time.Duration
-	longest            []time.Duration // of each class: the longest time a client waits
-	marked             bool            // clients mark their later tries here
-	logged             map[string]time.Duration
+	set               Settings
+	book              Book          // nil: the settings' plans stay
+	reserves          Reserves      // nil: there are none
+	figured           int           // changes of plans so far
+	changed, ticked   time.Duration // the last of these; the last tick
+	stale             []*customer   // not all of these have taken up the last change
+	rng               uint64
+	now, woke         time.Duration // woke: when this process last went on after a pause of its own
+	blind             float64       // share of the fleet's work that is not seen here, as far as it matters
+	started, watching bool
+	actions           []Action
+	requests          map[uint64]*request
+	tokens            map[uint32]*request
+	nextToken         uint32
+	customers         map[uint64]*customer
+	firms             due.Queue[*customer] // each customer by the time when something is due for it
+	numbered          uint64               // customers so far
+	resting, rested   map[uint64]rest      // customers that are quiet: of late, and those before
+	turned            time.Duration        // the last time that those before were forgotten
+	servers           map[ServerID]*server
+	*fleet            // of group 0, the only one in the simulator
+	fleets            []*fleet
+	guess             float64    // of the latency, before the first answer
+	queue             []*request // through the first gate, waiting for a server
+	calls             map[uint64][]call
+	loads             map[uint64]word // of busy customers, also ones not seen here yet
+	units             float64         // of a request, smoothed
+	size              float64         // of a request, by the settings alone: all gateways must agree how a firm is counted
+	dearest           float64         // price of the dearest plan
+	turnTime          time.Duration   // of turns at a cap: the same at all gateways, by the settings
+	callsSaved        float64         // at most, for each counter
+	spread            Counters        // nil: there is one counter
+	*counter                          // number 0, the only one where no list names several
+	counters          []*counter      // by number: those that have been called
+	among             int             // counters that names are dealt out to
+	began, second     time.Duration
+	watchAt           time.Duration
+	longest           []time.Duration // of each class: the longest time a client waits
+	marked            bool            // clients mark their later tries here
+	logged            map[string]time.Duration
 }
 
 // group finds an upstream group's fleet. Groups are few and numbered from 0.
@@ -532,6 +531,8 @@
 		}
 	case CountResult:
 		g.counted(e)
+	case CountersChanged:
+		g.recounted(e)
 	}
 	return g.actions
 }
@@ -661,13 +662,17 @@
 }
 
 // call notes a counter call whose answer is due and makes it.
-func (g *Gateway) call(c *customer, name uint64, what int64, amount float64, r *request) {
+func (g *Gateway) call(c *customer, name uint64, what int64, amount float64, r *request, spared uint8) {
 	g.calls[name] = append(g.calls[name], call{cust: c, req: r, what: what, told: amount > 0, units: amount, figured: c.figured})
 	wait := lateSums
 	if r != nil && g.blind == 0 {
 		wait = 0 // a request is held up
 	}
-	g.do(Count{name, amount, 3 * c.lasts(what), wait})
+	count := Count{Name: name, Amount: amount, Lives: 3 * c.lasts(what), Wait: wait, Began: c.started(what), Spared: spared}
+	if name != c.name(what) { // of an interval that is over
+		count.Began = 0
+	}
+	g.do(count)
 }
 
 // until is the end of the window in which servers drop the repeat of a keyed request; 0: none has begun.
@@ -681,7 +686,7 @@
 // giveBack returns a drawn slot.
 func (g *Gateway) giveBack(r *request) {
 	if r.slot != 0 {
-		g.call(r.cust, r.slot, slots, -1, nil)
+		g.call(r.cust, r.slot, slots, -1, nil, 0)
 		r.slot = 0
 	}
 }
