--- a/cmd/bramblefall/check.go
+++ b/cmd/bramblefall/check.go
@@ -29,6 +29,9 @@
 			if file.Admin != nil {
 				rows = append(rows, []string{"admin", file.Admin.Socket, "at the start", "", ""})
 			}
+			for _, x := range file.Counters {
+				rows = append(rows, []string{"counter", x.Address, "at once", "", "one of " + strconv.Itoa(len(file.Counters))})
+			}
 			return o.write(c.OutOrStdout(), file, "WHAT WHICH FROM SIZE NOTE", rows)
 		}}
 	o.flag(c)
--- /dev/null
+++ b/cmd/bramblefall/counters_test.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// counters is an operators' file with such a list; more is what stands beside it.
+func counters(more string, list ...*quotaCounter) string {
+	var b strings.Builder
+	for _, c := range list {
+		fmt.Fprintf(&b, "  counter(address = %q),\n", c.addr)
+	}
+	return fmt.Sprintf("bramblefall(\n counters = [\n%s ], %s)\n", b.String(), more)
+}
+
+// read has a limiter read its operators' file again.
+func (l *limiter) read(path, text, word string) {
+	l.t.Helper()
+	before := strings.Count(l.log.String(), word)
+	require.NoError(l.t, os.WriteFile(path, []byte(text), 0o600))
+	require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGHUP))
+	require.Eventually(l.t, func() bool { return strings.Count(l.log.String(), word) > before }, patience, time.Millisecond)
+}
+
+// threeLimiters is three limiters of a deployment of so many, with an operators' file each.
+func threeLimiters(t *testing.T, balancers int, plan object, c *quotaCounter, s *server) (all []*limiter, files []string, again func(rank int) *limiter) {
+	set := settings()
+	set["balancers"], set["tariffs"] = balancers, []object{plan}
+	again = func(rank int) *limiter {
+		own := maps.Clone(set)
+		own["rank"] = rank
+		return start(t, world{settings: own, servers: []*server{s}, counter: c, operator: files[rank]})
+	}
+	for rank := range 3 {
+		files = append(files, script(t, filepath.Join(t.TempDir(), "operator.star"), "bramblefall()\n"))
+		all = append(all, again(rank))
+	}
+	return all, files, again
+}
+
+const reread = `msg="read the configuration anew"`
+
+// A bad list is told in one line, with line and field, and the last good one goes on.
+func TestABadListOfCountersIsRefused(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	c := newCounter(t)
+	for name, x := range map[string]struct{ list, says string }{
+		"empty":       {"", "c.star:1: counters: minItems: got 0, want 1"},
+		"twice":       {fmt.Sprintf("counter(address = %q), counter(address = %q)", c.addr, c.addr), "c.star:1: counters[1].address: "},
+		"bad address": {`counter(address = "nowhere")`, `c.star:1: counters[0].address: "nowhere" is not like`},
+	} {
+		file := script(t, filepath.Join(dir, "c.star"), "bramblefall(counters = ["+x.list+"])\n")
+		_, said := cli(t, 2, "check", file)
+		require.Contains(t, said, x.says, name)
+	}
+	out, _ := cli(t, 0, "check", script(t, filepath.Join(dir, "c.star"), counters("", c)))
+	require.Regexp(t, `counter +`+c.addr, out)
+
+	file := script(t, filepath.Join(dir, "operator.star"), counters("", c))
+	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, operator: file})
+	l.read(file, "bramblefall(counters = [])\n", "the old one is kept")
+	require.Contains(t, l.log.String(), "counters: minItems")
+	require.NotContains(t, l.log.String(), "counters reached=0")
+	require.Equal(t, "v", l.dial().do(ask("r1")...))
+}
+
+// The names go to all counters of the list, those of one that is gone cost no other, and the list may change at any time: to one
+// more, to one elsewhere, to the platform's again.
+func TestNamesAreDealtOutToTheListsCounters(t *testing.T) {
+	t.Parallel()
+	first, s := newCounter(t), newServer(t, "s-1", "hall-a", value("v"))
+	limiters, files, _ := threeLimiters(t, 3, plan("regular", 3, 30, 0), first, s)
+	list := []*quotaCounter{first, newCounter(t), newCounter(t)}
+	for k, l := range limiters {
+		l.read(files[k], counters("", list...), reread)
+	}
+	id := 0
+	drive := func(done func() bool) {
+		t.Helper()
+		var clients []*client
+		for _, l := range limiters {
+			clients = append(clients, l.dial())
+		}
+		require.Eventually(t, func() bool {
+			for n := range 40 {
+				id++
+				c := clients[id%3]
+				require.Regexp(t, "^(v|-BUSY.*)$", c.do("Q.ASK", fmt.Sprintf("%016x", 1+n), fmt.Sprintf("%016x", id), "c=balance-read,t=regular,d=4000,units=1,spread=3,first=0"))
+			}
+			return done()
+		}, patience, time.Millisecond)
+	}
+	drive(func() bool {
+		a, _ := list[1].made()
+		b, _ := list[2].made()
+		return a > 5 && b > 5
+	})
+	elsewhere := newCounter(t)
+	for k, l := range limiters {
+		l.read(files[k], counters("", first, list[1], elsewhere), reread)
+	}
+	drive(func() bool { n, _ := elsewhere.made(); return n > 5 })
+	for k, l := range limiters {
+		l.read(files[k], "bramblefall()\n", reread)
+	}
+	before, _ := first.made()
+	drive(func() bool { n, _ := first.made(); return n > before+5 })
+	for _, c := range append(list, elsewhere) {
+		_, conns := c.made()
+		assert.LessOrEqual(t, conns, 6, "a connection for each limiter, and one more where it had rested")
+	}
+}
+
+// drain asks one limiter for units of some firms until it refuses each, and counts what it serves.
+func (l *limiter) drain(firms int, tag string) (served int) {
+	c := l.dial()
+	for f := range firms {
+		for n := range 8 {
+			word := c.do("Q.ASK", fmt.Sprintf("%016x", 100+f), fmt.Sprintf("%s%02x%02x", tag, f, n), "c=balance-read,t=regular,d=400,units=1,spread=6,first=0")
+			if word == "v" {
+				served++
+			}
+		}
+	}
+	return served
+}
+
+// A quota that is used up stays used up when its names move to another counter, whatever becomes of the former one: it answers,
+// it is wiped, it is slow, it is gone. One limiter used the quota; the others, which never heard of it, ask after the move. One of
+// them is killed in the middle of the move and starts anew. (Of the even part, a fraction of a request here, a limiter lets one go.)
+func TestAQuotaIsNotGivenTwiceAtAMove(t *testing.T) {
+	t.Parallel()
+	const firms, burst = 6, 5
+	for name, hurt := range map[string]func(c *quotaCounter){
+		"well":   func(*quotaCounter) {},
+		"slow":   func(c *quotaCounter) { c.mu.Lock(); defer c.mu.Unlock(); c.late = 29 * time.Millisecond },
+		"silent": func(c *quotaCounter) { c.mu.Lock(); defer c.mu.Unlock(); c.silent = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first, second, s := newCounter(t), newCounter(t), newServer(t, "s-1", "hall-a", value("v"))
+			limiters, files, again := threeLimiters(t, 6, plan("regular", 0.05, burst, 0), first, s)
+			used := limiters[0].drain(firms, "a")
+			require.GreaterOrEqual(t, used, firms*burst-3, "the quotas are used up")
+			for k, l := range limiters {
+				l.read(files[k], counters("", second), reread)
+			}
+			hurt(first)
+			more := limiters[1].drain(firms, "b")
+			require.NoError(t, limiters[2].cmd.Process.Kill())
+			<-limiters[2].ended
+			more += again(2).drain(firms, "c") // it never had the former list
+			t.Logf("%d used, %d more after the move", used, more)
+			require.LessOrEqual(t, more, 2*firms+burst, "a part of its own at each, and one quota whose interval has ended")
+		})
+	}
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -54,6 +54,8 @@
 	if file.Admin != nil {
 		most = max(most-admin.Descriptors, fewDescriptors)
 	}
+	links := counter.Connections(len(file.Counters), max(cfg.Limits.Sockets, fewDescriptors))
+	most = max(most-(links-counter.Connections(0, 0)), fewDescriptors) // beyond the own descriptors
 	book, keeper, err := openBook(cfg, file)
 	if err != nil {
 		return err
@@ -62,12 +64,17 @@
 		slog.Warn("this limiter's number is beyond the fleet: it counts round", "number", cfg.settings.Rank, "limiters", n)
 	}
 	board := &plans.Board{}
-	owner := loop.New(core.New(cfg.settings, cfg.seed, book))
+	reducer := core.New(cfg.settings, cfg.seed, book)
+	if file.Counters != nil {
+		reducer.Spread(loop.Now(), file.Addresses(), false)
+	}
+	owner := loop.New(reducer)
 	pool := upstream.New(cfg.settings, most/2, owner.Post, loop.Now)
 	list := discovery.New(cfg.Discovery, cfg.settings, pool, owner.Post)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	counts := counter.New(cfg.Counter, owner.Post, loop.Now)
+	counts := &counterList{Set: counter.New(cfg.Counter, links, owner.Post, loop.Now), platform: cfg.Counter, listed: file.Addresses(),
+		several: file.Counters != nil}
 	groups := []loop.Caller{pool}
 	if service != nil {
 		groups = append(groups, service.prepare(cfg.settings, owner, board, callers, endpoints))
@@ -166,30 +173,54 @@
 
 // reload reads both files again. What cannot be used leaves the last good one. Addresses are followed; of the settings only
 // the plans can change in service, and they do not where others differ: half of another deployment's must not be in force.
-func reload(cfg config, o serveOptions, owner *loop.Loop, list *discovery.Client, counts *counter.Client) {
+func reload(cfg config, o serveOptions, owner *loop.Loop, list *discovery.Client, counts *counterList) {
 	next, err := readConfig(o.config, true)
 	if err != nil {
 		slog.Error("the new configuration cannot be used, the old one is kept", "err", err)
 		return
 	}
 	list.Move(next.Discovery)
-	counts.Move(next.Counter)
 	if other := cfg.unlike(next); len(other) > 0 {
 		slog.Warn("settings differ that hold until a restart, the plans beside them are not taken either", "settings", other)
 	} else {
 		replan(owner, "the platform's tiers", core.Reread{Tiers: next.settings.Plans})
 	}
+	listed := counts.listed
 	if o.operator != "" {
 		file, err := readOperator(o.operator)
 		if err != nil {
 			slog.Error("the new operators' file cannot be used, the old one is kept", "err", err)
 		} else {
+			listed = file.Addresses()
 			replan(owner, "the operators' file", core.Replace{Source: plans.File, Versions: file.Plans, Reservations: file.Reservations})
 		}
 	}
+	counts.follow(owner, next.Counter, listed)
 	slog.Info("read the configuration anew", "discovery", next.Discovery, "counter", next.Counter)
 }
 
+// counterList is where the counters are: the operators' list, or the platform's one.
+type counterList struct {
+	*counter.Set
+	platform string
+	listed   []string
+	several  bool // a list has been in force: from then on the reducer hands over what changes
+}
+
+// follow takes what the files say now.
+func (c *counterList) follow(owner *loop.Loop, platform string, listed []string) {
+	before := c.platform
+	c.platform, c.listed = platform, listed
+	if c.several = c.several || listed != nil; !c.several {
+		c.Move(platform)
+		return
+	}
+	if listed == nil {
+		listed = []string{platform}
+	}
+	owner.Post(core.Counters{Before: before, Addresses: listed})
+}
+
 // replan puts a change to the reducer and logs what became of it.
 func replan(owner *loop.Loop, what string, question any) {
 	owner.Post(core.Ask{Question: question, Reply: func(r core.Reply) {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -3,7 +3,6 @@
 
 import (
 	"bytes"
-	"context"
 	"log/slog"
 	"math"
 	"strconv"
@@ -26,13 +25,14 @@
 	mostLine    = 64   // an answer's
 )
 
-// Client makes the calls over one connection: answers come in the calls' order, and the calls for one name
+// Client makes the calls to one counter over one connection: answers come in the calls' order, and the calls for one name
 // must, too.
 type Client struct {
-	post func(core.Event)
-	now  func() time.Duration // the reducer's clock
+	set *Set
 
 	mu      sync.Mutex
+	lazy    bool // it is one of several: connected while it is called
+	called  time.Time
 	addr    string // "": there is none
 	link    *link  // takes the calls
 	old     *link  // to an address that was left: it only brings the answers that are due
@@ -59,27 +59,6 @@
 	made time.Time
 }
 
-// New makes a client of the counter at an address.
-func New(addr string, post func(core.Event), now func() time.Duration) *Client {
-	return &Client{addr: addr, post: post, now: now}
-}
-
-// Run keeps the connection up until the context ends.
-func (c *Client) Run(ctx context.Context) {
-	tick := time.NewTicker(tendEvery)
-	defer tick.Stop()
-	for {
-		c.mu.Lock()
-		c.tend()
-		c.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-	}
-}
-
 // Move makes the calls at another address from now on. The connection to the old one is used until the new one
 // is up, and then kept for the answers that are due on it: no call is lost to the change.
 func (c *Client) Move(addr string) {
@@ -100,11 +79,19 @@
 		if len(l.sent) > 0 && time.Since(l.sent[0].made) > stuckAfter && time.Since(l.heard) > stuckAfter {
 			slog.Warn("the counter is silent, connecting anew")
 			l.end()
+		} else if c.lazy && len(l.sent) == 0 && time.Since(c.called) > c.set.rests() {
+			l.end()
 		} else if l == c.link && time.Since(l.wrote) > pingEvery {
 			l.write([]byte("ping\r\n"), call{made: time.Now()})
 		}
 	}
-	if c.addr != "" && (c.link == nil || c.link.addr != c.addr) && !c.dialing && time.Since(c.dialed) > redialEvery {
+	if c.addr != "" && (c.link == nil || c.link.addr != c.addr) && !c.dialing && time.Since(c.dialed) > redialEvery &&
+		(!c.lazy || len(c.waiting) > 0) {
+		if c.set.open.Add(1) > int64(c.set.most) {
+			c.set.open.Add(-1)
+			c.drop()
+			return
+		}
 		c.dialing, c.dialed = true, time.Now()
 		addr := c.addr
 		lastwords.Go(func() { c.dial(addr) })
@@ -115,6 +102,7 @@
 func (c *Client) Count(e core.Count) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.called = time.Now()
 	if c.link != nil {
 		c.link.add(e)
 		return
@@ -127,9 +115,31 @@
 	c.tend()
 }
 
+// drop fails what waits for a connection.
+func (c *Client) drop() {
+	waiting := c.waiting
+	c.waiting = nil
+	for _, e := range waiting {
+		c.fail(e.Call, logic.ConnectFailed)
+	}
+}
+
+// leave ends the connections: the counter is not called any more.
+func (c *Client) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addr = ""
+	c.drop()
+	for _, l := range []*link{c.old, c.link} {
+		if l != nil {
+			l.end()
+		}
+	}
+}
+
 func (c *Client) fail(id uint64, s logic.Status) {
 	if id != 0 {
-		c.post(core.CountResult{Call: id, Status: s})
+		c.set.post(core.CountResult{Call: id, Status: s})
 	}
 }
 
@@ -139,24 +149,23 @@
 	defer c.mu.Unlock()
 	c.dialing = false
 	if addr != c.addr { // moved meanwhile
+		c.set.open.Add(-1)
 		if err == nil {
 			lastwords.Go(conn.Close)
 		}
 		c.tend()
 		return
 	}
-	waiting := c.waiting
-	c.waiting = nil
-	if err == nil {
-		c.dialed = time.Time{} // it is there: if this connection breaks, the next is made at once
-		slog.Info("connected to the counter", "addr", addr)
-	} else {
+	if err != nil {
+		c.set.open.Add(-1)
 		slog.Info("cannot connect to the counter", "addr", addr, "err", err)
-		for _, e := range waiting {
-			c.fail(e.Call, logic.ConnectFailed)
-		}
+		c.drop()
 		return
 	}
+	waiting := c.waiting
+	c.waiting = nil
+	c.dialed = time.Time{} // it is there: if this connection breaks, the next is made at once
+	slog.Info("connected to the counter", "addr", addr)
 	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn, nil), wrote: time.Now()}
 	c.replace(l)
 	conn.Serve(l.onRequest, l.closed)
@@ -179,7 +188,7 @@
 
 // add writes a call, unless the reducer has given up on it already: it must not be counted after that.
 func (l *link) add(e core.Count) {
-	if l.client.now() >= e.Until {
+	if l.client.set.now() >= e.Until {
 		return
 	}
 	if len(l.sent) >= mostCalls {
@@ -206,6 +215,7 @@
 		return
 	}
 	l.ended = true
+	l.client.set.open.Add(-1)
 	switch l {
 	case l.client.link:
 		l.client.link = nil
@@ -274,7 +284,7 @@
 	if text, ok := bytes.CutPrefix(line, []byte("ok ")); ok {
 		if total, err := strconv.ParseFloat(string(text), 64); err == nil && !math.IsNaN(total) && !math.IsInf(total, 0) {
 			if s.id != 0 {
-				l.client.post(core.CountResult{Call: s.id, Status: logic.OK, Total: total})
+				l.client.set.post(core.CountResult{Call: s.id, Status: logic.OK, Total: total})
 			}
 			return
 		}
--- a/internal/evaluate/file.go
+++ b/internal/evaluate/file.go
@@ -8,7 +8,10 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
+	"net/netip"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -25,13 +28,14 @@
 )
 
 // Parts are the constructors that a file may call.
-var Parts = []string{"ratelimit", "others", "admin", "limits", "tier", "firm", "plan", "reservation"}
+var Parts = []string{"ratelimit", "others", "admin", "limits", "tier", "firm", "plan", "reservation", "counter"}
 
 // form is the file as the schema has it: instants in seconds, firms in hex.
 type form struct {
 	RateLimit *operator.RateLimit `json:"ratelimit"`
 	Admin     *operator.Admin     `json:"admin"`
 	StateDir  string              `json:"state_dir"`
+	Counters  []operator.Counter  `json:"counters"`
 	Limits    struct {
 		Late          *float64 `json:"late"`
 		FleetRate     float64  `json:"fleet_rate"`
@@ -143,7 +147,7 @@
 }
 
 func (f form) file(path string) operator.File {
-	out := operator.File{RateLimit: f.RateLimit, Admin: f.Admin, StateDir: f.StateDir, Limits: plans.DefaultLimits}
+	out := operator.File{RateLimit: f.RateLimit, Admin: f.Admin, StateDir: f.StateDir, Counters: f.Counters, Limits: plans.DefaultLimits}
 	beside := func(file *string) {
 		if *file != "" && !filepath.IsAbs(*file) {
 			*file = filepath.Join(filepath.Dir(path), *file)
@@ -184,6 +188,25 @@
 	return n
 }
 
+var hostForm = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9.-]*[A-Za-z0-9])?$`)
+
+// addressed tells what is wrong with a counter's address. One form for each, so that none stands twice in two forms.
+func addressed(address string) string {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Sprintf("%q is not like 10.0.0.1:7000", address)
+	}
+	if ip, err := netip.ParseAddr(host); err == nil && ip.String() != host {
+		return fmt.Sprintf("%q is written %q", host, ip)
+	} else if err != nil && !hostForm.MatchString(host) {
+		return fmt.Sprintf("%q is no host", host)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || strconv.FormatUint(n, 10) != port {
+		return fmt.Sprintf("%q is no port from 1 to 65535", port)
+	}
+	return ""
+}
+
 // check holds the plans and reservations against the book's rules, each with its line.
 func check(f operator.File, name string, made script.Result) (all operator.Errors) {
 	tell := func(err error) {
@@ -194,6 +217,18 @@
 			}
 		}
 	}
+	at := map[string]int{}
+	for k, c := range f.Counters {
+		bad := addressed(c.Address)
+		if first, twice := at[c.Address]; twice && bad == "" {
+			bad = fmt.Sprintf("%q is that of counters[%d], too", c.Address, first)
+		} else if !twice {
+			at[c.Address] = k
+		}
+		if bad != "" {
+			tell(plans.Problems{{Field: fmt.Sprintf("counters[%d].address", k), Text: bad}})
+		}
+	}
 	book := plans.New(nil, f.Limits)
 	numbers := map[uint64]int{}
 	for k, v := range f.Plans {
--- a/internal/evaluate/file_test.go
+++ b/internal/evaluate/file_test.go
@@ -24,6 +24,13 @@
 		"a firm's tier":    {"bramblefall(plans = [plan(number = 1, tiers = [tier(name = 'a', rate = 3, burst = 5)],\n firms = [firm(firm = 'b4', tier = 'b')])])\n", "o.star:2: plans[0].firms[0].tier: unknown tier \"b\""},
 		"a bad time":       {"bramblefall(plans = [plan(number = 1, effective = time('tomorrow'), tiers = [])])\n", "is not like 2026-12-31T21:00:00+03:00"},
 		"promises":         {"bramblefall(limits = limits(fleet_rate = 10, reserved_share = 0.1), reservations = [\n reservation(id = 'r', firm = 'b4', units = 100, start = 1000, end = 1010)])\n", "o.star:2: reservations[0].units: "},
+		"no counter":       {"\nbramblefall(counters = [])\n", "o.star:2: counters: minItems: got 0, want 1"},
+		"a counter twice":  {"bramblefall(counters = [\n counter(address = '10.0.0.1:7000'),\n counter(address = '10.0.0.1:7000'),\n])\n", "o.star:3: counters[1].address: \"10.0.0.1:7000\" is that of counters[0], too"},
+		"no port":          {"bramblefall(counters = [\n counter(address = '10.0.0.1')])\n", "o.star:2: counters[0].address: \"10.0.0.1\" is not like 10.0.0.1:7000"},
+		"a port too high":  {"bramblefall(counters = [\n counter(address = '10.0.0.1:70000')])\n", "o.star:2: counters[0].address: \"70000\" is no port from 1 to 65535"},
+		"no host":          {"bramblefall(counters = [\n counter(address = ':7000')])\n", "o.star:2: counters[0].address: \"\" is no host"},
+		"another form":     {"bramblefall(counters = [\n counter(address = '[::0:1]:7000')])\n", "o.star:2: counters[0].address: \"::0:1\" is written \"::1\""},
+		"a bare address":   {"bramblefall(counters = ['10.0.0.1:7000'])\n", "o.star:1: counters[0]: got string, want object"},
 		"an endless loop":  {"def f():\n  for _ in range(1 << 40): pass\nf()\n", "o.star:2: takes more than"},
 		"recursion":        {"def f(): f()\nf()\n", "o.star:1: function f called recursively"},
 		"itself":           {"l = []\nl.append(l)\nbramblefall(plans = l)\n", "nested more than"},
@@ -45,6 +52,7 @@
     ratelimit = ratelimit(listen = "127.0.0.1:0", others = others(cluster = "c", clusters = "xds/c.json")),
     admin = admin(socket = "admin.sock"),
     state_dir = "/var/lib/b",
+    counters = [counter(address = "10.0.%d.%d:7000" % (k // 256, k % 256)) for k in range(1024)],
     plans = [plan(number = 1 + k, effective = first + k * day, tiers = pool(1.0 + k)) for k in range(3)],
     reservations = [reservation(id = "r-%d" % k, firm = "b4d65521", units = 10, start = first, end = first + hour) for k in range(2)],
 )
@@ -54,6 +62,7 @@
 	require.Equal(t, "/etc/bramblefall/admin.sock", f.Admin.Socket)
 	require.Equal(t, "/var/lib/b", f.StateDir)
 	require.Len(t, f.Plans, 3)
+	require.Equal(t, "10.0.3.255:7000", f.Addresses()[1023])
 	require.Equal(t, 30.0, f.Plans[2].Tiers[1].Rate)
 	require.Equal(t, "2027-01-02T21:00:00Z", time.Unix(0, int64(f.Plans[2].Effective)).UTC().Format(time.RFC3339))
 	require.Equal(t, uint64(0xb4d65521), f.Reservations[1].Firm)
--- a/internal/lab/experiments.go
+++ b/internal/lab/experiments.go
@@ -80,13 +80,14 @@
 }
 
 var resultHead = []string{"scenario", "policy", "seed", "requests", "worth served", "beyond quota %", "refused %", "refused with room %",
-	"calls each", "median s", "p99 s", "ceiling over", "broken rules", "CPU us each", "wall s"}
+	"calls each", "median s", "p99 s", "ceiling over", "broken rules", "CPU us each", "wall s", "calls borne a second", "at the busiest counter"}
 
 func resultRow(t *Table, d Done) {
 	r := d.Result
 	n := float64(max(r.Tries, 1))
 	t.Add(r.Scenario, r.Policy, r.Seed, r.Requests, r.Worth(), 100*r.OverQuota(), 100*r.RefusedShare(), 100*float64(r.RoomRefused)/n,
-		r.CallsEach(), r.Median, r.P99, r.CeilingOver, r.Broken, float64(r.CPU.Nanoseconds())/1000/n, d.Wall.Seconds())
+		r.CallsEach(), r.Median, r.P99, r.CeilingOver, r.Broken, float64(r.CPU.Nanoseconds())/1000/n, d.Wall.Seconds(),
+		Metrics["borne"](r), Metrics["busiest"](r))
 }
 
 // Results is a table of finished jobs.
@@ -109,6 +110,8 @@
 	"cpu":       func(r model.Result) float64 { return float64(r.CPU.Nanoseconds()) / 1000 / float64(max(r.Tries, 1)) },
 	"ceiling":   func(r model.Result) float64 { return r.CeilingOver },
 	"broken":    func(r model.Result) float64 { return float64(r.Broken) },
+	"borne":     func(r model.Result) float64 { return float64(r.Borne) / max(r.Seconds, 1) },
+	"busiest":   func(r model.Result) float64 { return float64(r.BusiestCalls) / max(r.Seconds, 1) },
 	"violation": func(r model.Result) float64 { return float64(len(r.Violations)) },
 }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -23,8 +23,11 @@
 	CloseIdle(logic.ServerID)
 }
 
-// Counter makes the calls to the counter. It may not block.
-type Counter interface{ Count(core.Count) }
+// Counter makes the calls to the counters. It may not block.
+type Counter interface {
+	Count(core.Count)
+	Reach(map[int]string)
+}
 
 // Keeper keeps the plan book. It may not block.
 type Keeper interface {
@@ -169,6 +172,8 @@
 		e.Origin.Failed()
 	case core.Count:
 		l.counter.Count(e)
+	case core.Reach:
+		l.counter.Reach(e.Counters)
 	case core.CloseIdle:
 		l.callers[e.Group].CloseIdle(e.Server)
 	case core.Publish:
--- a/internal/model/audit.go
+++ b/internal/model/audit.go
@@ -92,6 +92,9 @@
 	RoomRefused      int // refused while half of the quota was left
 	Capped, OverCap  int // attempts under a cap on those out at once; beyond it
 	Calls            int
+	BusiestCalls     int // at the counter with most
+	Borne            int // answered
+	Seconds          float64
 	CeilingOver      float64 // units
 	Violations       []string
 	Broken           int
@@ -313,7 +316,11 @@
 func (a *audit) result() Result {
 	r := a.r
 	r.Scenario, r.Policy, r.Seed = a.w.s.Name, a.w.policy.Name, a.w.seed
-	r.Calls = a.w.counter.Calls
+	r.Calls, r.BusiestCalls, r.Borne = 0, 0, 0
+	for _, c := range a.w.counters {
+		r.Calls, r.BusiestCalls, r.Borne = r.Calls+c.Calls, max(r.BusiestCalls, c.Calls), r.Borne+c.borne
+	}
+	r.Seconds = min((a.w.sim.now - begin).Seconds(), a.w.s.Seconds)
 	r.Median = float64(a.latency.ValueAtQuantile(50)) / 1e6
 	r.P99 = float64(a.latency.ValueAtQuantile(99)) / 1e6
 	for k := range a.refuse {
--- a/internal/model/limiter.go
+++ b/internal/model/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"bramblefall/internal/core"
@@ -48,6 +49,7 @@
 	notice  time.Duration // the front sees that it is down
 	busy    bool          // in a step: what it asks of itself waits
 	inbox   []core.Event
+	reach   map[int]int   // counters by the decider's numbers; none: number 0 alone
 	CPU     time.Duration // spent in the decider, where it is measured
 }
 
@@ -71,6 +73,14 @@
 	l.open = map[*request]struct{}{}
 	seed := source(l.w.seed, "limiter", l.rank*1000+l.life).Uint64()
 	l.d = l.w.policy.New(l.w.settings(l.rank), seed)
+	if r, ok := l.d.(*core.Reducer); ok && l.w.s.Counter.Count > 0 {
+		r.Spread(l.w.sim.now, l.w.listed(l.rank), l.life == 1)
+	}
+	if r, ok := l.d.(*core.Reducer); ok && l.w.s.Counter.Count > 0 {
+		for _, e := range r.Begin(l.w.sim.now, nil) {
+			l.run(e)
+		}
+	}
 	l.post(core.UpstreamGroup{ServerList: logic.ServerList{Whole: true, Cached: true, Servers: append([]logic.Server(nil), l.known...)}})
 	l.watch()
 }
@@ -183,11 +193,16 @@
 		e.Origin.Failed()
 	case core.Count:
 		life := l.life
-		l.w.counter.call(l.rank, e.Name, e.Amount, e.Lives, func(s logic.Status, total float64) {
+		l.w.counters[l.reach[e.Counter]].call(l.rank, e.Name, e.Amount, e.Lives, func(s logic.Status, total float64) {
 			if l.life == life {
 				l.post(core.CountResult{Call: e.Call, Status: s, Total: total})
 			}
 		})
+	case core.Reach:
+		l.reach = map[int]int{}
+		for number, addr := range e.Counters {
+			l.reach[number], _ = strconv.Atoi(addr)
+		}
 	case alarm:
 		life := l.life
 		l.w.sim.At(e.at, func() {
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -76,8 +76,10 @@
 	JitterMS float64 `json:"jitter_ms"` // mean of what is added
 }
 
-// CounterKind is the quota counter.
+// CounterKind is the quota counters.
 type CounterKind struct {
+	Count     int     `json:"count"`      // that names are dealt out to; 0: the one of the platform
+	Spare     int     `json:"spare"`      // further ones, for lists that change
 	PerSecond float64 `json:"per_second"` // of each part
 	Parts     int     `json:"parts"`
 	MS        Range   `json:"ms"`
@@ -134,29 +136,34 @@
 	For  float64 `json:"lasts"`
 	Part float64 `json:"part"` // share of what it meets
 	Size float64 `json:"size"` // of a flood: times the usual load
-	Hall int     `json:"hall"`
+	Hall int     `json:"hall"` // or the number of the counter that is lost
 }
 
 // Kinds of faults.
 const (
-	FaultFlush    = "flush"    // the counter forgets a part of its names
-	FaultSlow     = "slow"     // the counter's calls take Size times as long
-	FaultSilent   = "silent"   // the counter answers nothing
-	FaultSplit    = "split"    // the counter's callers are on two copies that disagree
-	FaultHot      = "hot"      // three firms flood
-	FaultScan     = "scan"     // one-off senders
-	FaultHall     = "hall"     // a hall's nodes die and come back cold; where Part is over a half it is cut off with its limiters
-	FaultLimiters = "limiters" // a part of the limiters dies and comes back with nothing
-	FaultStall    = "stall"    // a part of the limiters stands still, as in garbage collection
-	FaultDrain    = "drain"    // a part of the nodes drains, is gone and is replaced by new ones
-	FaultCrash    = "crash"    // a part of the nodes dies and comes back cold
-	FaultPause    = "pause"    // a part of the nodes stands still
-	FaultDeaf     = "deaf"     // discovery tells nothing
-	FaultCut      = "cut"      // what a hall's nodes say to limiters elsewhere does not arrive; the other way is open
+	FaultFlush    = "flush"        // the counter forgets a part of its names
+	FaultSlow     = "slow"         // the counter's calls take Size times as long
+	FaultSilent   = "silent"       // the counter answers nothing
+	FaultSplit    = "split"        // the counter's callers are on two copies that disagree
+	FaultHot      = "hot"          // three firms flood
+	FaultScan     = "scan"         // one-off senders
+	FaultHall     = "hall"         // a hall's nodes die and come back cold; where Part is over a half it is cut off with its limiters
+	FaultLimiters = "limiters"     // a part of the limiters dies and comes back with nothing
+	FaultStall    = "stall"        // a part of the limiters stands still, as in garbage collection
+	FaultDrain    = "drain"        // a part of the nodes drains, is gone and is replaced by new ones
+	FaultCrash    = "crash"        // a part of the nodes dies and comes back cold
+	FaultPause    = "pause"        // a part of the nodes stands still
+	FaultDeaf     = "deaf"         // discovery tells nothing
+	FaultLost     = "counter-lost" // one of several counters dies and comes back empty
+	FaultList     = "counters"     // the list holds Size counters, the first Hall of the former ones left out; a part of the limiters hears of it so much later
+	FaultCut      = "cut"          // what a hall's nodes say to limiters elsewhere does not arrive; the other way is open
 )
 
 var faultKinds = []string{FaultFlush, FaultSlow, FaultSilent, FaultSplit, FaultHot, FaultScan, FaultHall, FaultLimiters, FaultStall,
-	FaultDrain, FaultCrash, FaultPause, FaultDeaf, FaultCut}
+	FaultDrain, FaultCrash, FaultPause, FaultDeaf, FaultCut, FaultLost, FaultList}
+
+// drawnKinds are those that a search draws.
+var drawnKinds = faultKinds[:len(faultKinds)-2]
 
 // Bounds are what must hold for a run to count as good; 0: not looked at.
 type Bounds struct {
@@ -242,6 +249,9 @@
 			bad(field, "%v is not a range of two numbers from 0", r)
 		}
 	}
+	if s.Counter.Count < 0 || s.Counter.Spare < 0 || s.Counter.Count+s.Counter.Spare > 9999 {
+		bad("counter.count", "from 0 to 9999 with the spare ones")
+	}
 	for k, m := range s.Machines {
 		if !(m.Share > 0 && m.Cores > 0 && m.Speed[0] > 0 && m.Speed[1] >= m.Speed[0]) {
 			bad(fmt.Sprintf("machines[%d]", k), "share, cores and speed are numbers over 0")
@@ -262,6 +272,9 @@
 		if !slices.Contains(faultKinds, f.Kind) {
 			bad(fmt.Sprintf("faults[%d].kind", k), "%q is none of %v", f.Kind, faultKinds)
 		}
+		if all := s.Counter.Count + s.Counter.Spare; f.Kind == FaultLost && f.Hall >= max(all, 1) || f.Kind == FaultList && (f.Size < 1 || f.Hall < 0 || f.Hall+int(f.Size) > all || s.Counter.Count < 1) {
+			bad(fmt.Sprintf("faults[%d].kind", k), "there are %d counters", all)
+		}
 		if f.At < 0 || f.At >= s.Seconds || f.For < 0 {
 			bad(fmt.Sprintf("faults[%d].at", k), "it is not within the run")
 		}
@@ -282,7 +295,7 @@
 func DrawFaults(s Scenario, seed uint64) (list []Fault) {
 	rng := source(seed, "search", 0)
 	for range 1 + rng.IntN(4) {
-		list = append(list, Fault{Kind: faultKinds[rng.IntN(len(faultKinds))], At: s.Seconds * (0.1 + 0.6*rng.Float64()),
+		list = append(list, Fault{Kind: drawnKinds[rng.IntN(len(drawnKinds))], At: s.Seconds * (0.1 + 0.6*rng.Float64()),
 			For: 1 + 14*rng.Float64(), Part: 0.1 + 0.88*rng.Float64(), Size: 0.2 + 3*rng.Float64(), Hall: rng.IntN(s.Halls)})
 	}
 	return list
--- a/internal/operator/file.go
+++ b/internal/operator/file.go
@@ -15,6 +15,7 @@
 	RateLimit    *RateLimit          `json:"ratelimit,omitempty"` // nil: the gRPC front is off
 	Admin        *Admin              `json:"admin,omitempty"`     // nil: the admin service is off
 	StateDir     string              `json:"state_dir,omitempty"` // "": nothing survives a restart
+	Counters     []Counter           `json:"counters,omitempty"`  // none: the platform's one
 	Limits       plans.Limits        `json:"limits"`
 	Plans        []plans.Version     `json:"plans,omitempty"`
 	Reservations []plans.Reservation `json:"reservations,omitempty"`
@@ -27,6 +28,19 @@
 	Others *xds.Files `json:"others,omitempty"` // a rate limit service of others that has the last word; nil: none
 }
 
+// Counter is one of the quota counters that names are dealt out to.
+type Counter struct {
+	Address string `json:"address"`
+}
+
+// Addresses is where the counters are.
+func (f File) Addresses() (all []string) {
+	for _, c := range f.Counters {
+		all = append(all, c.Address)
+	}
+	return all
+}
+
 // Admin is the admin service.
 type Admin struct {
 	Socket string `json:"socket"`
--- a/logic/counters.go
+++ b/logic/counters.go
@@ -35,11 +35,7 @@
 func (g *Gateway) at(number int) *counter {
 	at, found := slices.BinarySearchFunc(g.counters, number, func(k *counter, n int) int { return cmp.Compare(k.number, n) })
 	if !found {
-		k := g.untold(number)
-		if g.now-g.began > time.Second { // guards against a crowd at one that all gateways find at once
-			k.callsLeft = g.random()
-		}
-		g.counters = slices.Insert(g.counters, at, k)
+		g.counters = slices.Insert(g.counters, at, g.untold(number))
 	}
 	return g.counters[at]
 }
