--- /dev/null
+++ b/internal/core/counters_test.go
@@ -0,0 +1,198 @@
+package core_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/core"
+	"bramblefall/internal/plans"
+	"bramblefall/internal/spread"
+	"bramblefall/logic"
+)
+
+// fleet is some reducers and the counters that they call, in virtual time. A call takes a millisecond each way.
+type fleet struct {
+	now      time.Duration
+	limiters []*core.Reducer
+	reach    []map[int]string
+	totals   map[string]map[uint64]float64 // by counter and name
+	calls    map[string]int
+	lost     map[string]bool
+	admitted int
+	todo     []todo
+	next     uint64
+}
+
+type todo struct {
+	at time.Duration
+	do func()
+}
+
+type gate struct {
+	nobody
+	f *fleet
+}
+
+func (g gate) Admitted() { g.f.admitted++ }
+
+func newFleet(n int, set logic.Settings, reservations ...plans.Reservation) *fleet {
+	f := &fleet{now: time.Hour, totals: map[string]map[uint64]float64{}, calls: map[string]int{}, lost: map[string]bool{}}
+	set.Gateways = n
+	for k := range n {
+		set.Rank = k
+		book := plans.New(set.Plans, plans.DefaultLimits)
+		if err := book.Replace(plans.File, nil, reservations, f.now, nil); err != nil {
+			panic(err)
+		}
+		f.limiters = append(f.limiters, core.New(set, uint64(k), book))
+		f.reach = append(f.reach, map[int]string{0: "a:1"})
+		f.run(k, f.limiters[k].Begin(f.now, nil))
+	}
+	return f
+}
+
+func (f *fleet) at(at time.Duration, do func()) { f.todo = append(f.todo, todo{at, do}) }
+
+func (f *fleet) post(k int, ev core.Event) { f.run(k, f.limiters[k].Reduce(f.now, ev, nil)) }
+
+func (f *fleet) run(k int, effects []core.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case core.SetTimer:
+			f.at(e.At, func() { f.post(k, e.Timer) })
+		case core.Admit:
+			e.Origin.Admitted()
+		case core.Reach:
+			f.reach[k] = e.Counters
+		case core.Count:
+			addr := f.reach[k][e.Counter]
+			f.at(f.now+time.Millisecond, func() {
+				if f.lost[addr] {
+					f.post(k, core.CountResult{Call: e.Call, Status: logic.ConnectFailed})
+					return
+				}
+				if f.totals[addr] == nil {
+					f.totals[addr] = map[uint64]float64{}
+				}
+				f.calls[addr]++
+				f.totals[addr][e.Name] += e.Amount
+				total := f.totals[addr][e.Name]
+				f.at(f.now+time.Millisecond, func() { f.post(k, core.CountResult{Call: e.Call, Total: total}) })
+			})
+		}
+	}
+}
+
+// play goes on until a time.
+func (f *fleet) play(to time.Duration) {
+	for {
+		next := -1
+		for k := range f.todo {
+			if f.todo[k].at <= to && (next < 0 || f.todo[k].at < f.todo[next].at) {
+				next = k
+			}
+		}
+		if next < 0 {
+			f.now = to
+			return
+		}
+		t := f.todo[next]
+		f.todo = slices.Delete(f.todo, next, next+1)
+		f.now = max(f.now, t.at)
+		t.do()
+	}
+}
+
+// ask has a firm ask a limiter for a unit.
+func (f *fleet) ask(k int, firm uint64, spread int) {
+	f.next++
+	f.post(k, core.RequestContext{Origin: gate{f: f}, Request: logic.Request{ID: f.next, Customer: firm, Units: 1, Spread: spread, TTL: time.Second, Admit: true}})
+}
+
+func oneTier(rate, burst float64) logic.Settings {
+	return logic.Settings{Zones: 1, MaxAttempts: 3, HasCounter: true, CounterLimit: 30 * time.Millisecond, MostUnits: 1,
+		Classes: []logic.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+		Plans:   []logic.Plan{{Name: "regular", Rate: rate, Burst: burst, Price: 1}}}
+}
+
+// A reservation whose names move to other counters, while limiters hear of it at different times, is not leased twice; also where
+// the former counter is lost in the middle of it.
+func TestAReservationIsNotLeasedTwiceAtAMove(t *testing.T) {
+	const units = 200.0
+	for seed := range uint64(6) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		f := newFleet(3, oneTier(0.001, 1), plans.Reservation{ID: "r", Firm: 7, Units: units, From: time.Hour,
+			Until: 3 * time.Hour, Source: plans.File})
+		move := f.now + 5*time.Second
+		for k := range 3 {
+			f.at(move+time.Duration(rng.Int64N(int64(10*time.Second))), func() {
+				f.post(k, core.Counters{Before: "a:1", Addresses: []string{"b:1", "c:1", "d:1"}})
+			})
+		}
+		if seed%2 == 1 {
+			f.at(move+11*time.Second, func() { f.lost["a:1"] = true })
+		}
+		end := f.now + 70*time.Second
+		for at := f.now; at < end; at += 40 * time.Millisecond {
+			f.at(at, func() { f.ask(rng.IntN(3), 7, 3) })
+		}
+		f.play(end)
+		require.LessOrEqual(t, float64(f.admitted), units+3*2, "seed %d: and what the quota gives", seed)
+		require.Greater(t, float64(f.admitted), units/2, "seed %d: it is used", seed)
+	}
+}
+
+// All names of one firm that floods fall where the hash has them: the calls that a counter gets are bounded by the requests.
+func TestCallsAreBoundedOnEachCounter(t *testing.T) {
+	const limiters = 20
+	for _, counters := range []int{1, 2, 8} {
+		f := newFleet(limiters, oneTier(20, 20))
+		var list []string
+		for k := range counters {
+			list = append(list, fmt.Sprintf("c%d:1", k))
+		}
+		for k := range limiters {
+			f.post(k, core.Counters{Before: list[0], Addresses: list})
+		}
+		asked := 0
+		for at := f.now; at < time.Hour+10*time.Second; at += 2 * time.Millisecond {
+			f.at(at, func() { f.ask(asked%limiters, 7, limiters); asked++ })
+		}
+		f.play(time.Hour + 11*time.Second)
+		for addr, calls := range f.calls {
+			most := 1.2*float64(asked)*min(1, 2/float64(counters)) + 8*limiters // and what was saved
+			require.LessOrEqual(t, float64(calls), most, "%s of %d", addr, counters)
+		}
+		t.Logf("%d counters: %d asked, calls %v", counters, asked, f.calls)
+	}
+}
+
+// A process that starts with a list counts nothing that may stand under another one.
+func TestAStartWithAListWaitsUntilAllHaveIt(t *testing.T) {
+	set := oneTier(20, 20)
+	set.Gateways = 20
+	r := core.New(set, 1, plans.New(set.Plans, plans.DefaultLimits))
+	r.Spread(time.Hour, []string{"a:1", "b:1"}, false)
+	calls := func(now time.Duration) (n int) {
+		effects := r.Reduce(now, core.RequestContext{Origin: nobody{}, Request: logic.Request{ID: uint64(now), Customer: 7, Units: 1, Spread: 20, TTL: time.Second, Admit: true}}, nil)
+		for _, e := range effects {
+			if _, ok := e.(core.Count); ok {
+				n++
+			}
+		}
+		return n
+	}
+	r.Begin(time.Hour, nil)
+	require.Zero(t, calls(time.Hour+time.Second))
+	later := time.Hour + spread.Slack + 5*time.Second
+	n := 0
+	for k := range 50 { // some are thinned by chance
+		n += calls(later + time.Duration(k)*20*time.Millisecond)
+	}
+	require.Positive(t, n)
+}
--- /dev/null
+++ b/logic/counters_test.go
@@ -0,0 +1,85 @@
+package logic
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// all has every name on the same counters.
+type all []int
+
+func (a all) Counters(time.Duration, uint64, time.Duration) []int { return a }
+
+// severally is a gateway of two hundred whose names fall on some of eight counters.
+func severally(t *testing.T, on ...int) *bench {
+	b := many(t, false)
+	b.g.Spread(all(on))
+	b.handle(CountersChanged{Listed: []int{0, 1, 2, 3, 4, 5, 6, 7}, Among: 8})
+	return b
+}
+
+// said answers the calls so far, with a word from each counter.
+func (b *bench) said(st Status, total float64, parts ...CountPart) {
+	counts := b.counts
+	b.counts = nil
+	for _, c := range counts {
+		b.handle(CountResult{Name: c.Name, Status: st, Total: total, Parts: parts})
+	}
+}
+
+// The requests earn each counter its share of calls and as much again: where all names fall on one of eight it gets no more.
+// Guards against a hot counter that gets what was earned for all.
+func TestNamesOnOneCounterGetItsShareOfCalls(t *testing.T) {
+	b := severally(t, 3)
+	b.g.at(3).calling = 1
+	made := 0
+	for k := range 400 {
+		b.arrive(Request{Customer: uint64(100 + k), Units: 1})
+		made += len(b.counts)
+		b.said(OK, 1, CountPart{Counter: 3})
+		b.run(10*ms, func() { b.answer(0) })
+	}
+	if most := 400*mostCalls*2/8 + callsStored; float64(made) > most || float64(made) < most/3 {
+		t.Errorf("%d calls, of %v", made, most)
+	}
+}
+
+// What one counter does says nothing of another; one that is spared is not called, and what is known of those that left is
+// forgotten.
+func TestEachCounterIsKnownByItself(t *testing.T) {
+	b := severally(t, 1, 2)
+	for k := range 20 {
+		b.arrive(Request{Customer: uint64(100 + k), Units: 1})
+		b.said(Timeout, 0, CountPart{Counter: 1}, CountPart{Counter: 2, Status: ConnectFailed})
+	}
+	one, two := b.g.at(1), b.g.at(2)
+	if one.failed != 0 || one.counterUp > 0 || one.calling < 0.33 {
+		t.Errorf("the one that answers: %+v", one)
+	}
+	if two.failed < silence || two.counterUp <= b.now || !two.away {
+		t.Errorf("the one that is away: %+v", two)
+	}
+	for k := range 20 {
+		b.arrive(Request{Customer: uint64(200 + k), Units: 1})
+		for _, c := range b.counts {
+			if c.Spared != 2 {
+				t.Fatalf("called at bits %b", c.Spared)
+			}
+		}
+		b.said(Timeout, 0, CountPart{Counter: 1})
+	}
+	b.handle(CountersChanged{Listed: []int{1, 5}, Among: 2})
+	if slices.ContainsFunc(b.g.counters, func(k *counter) bool { return k.number == 2 }) || b.g.at(1) != one {
+		t.Error("the list's counters are not those known")
+	}
+}
+
+// A name that stands nowhere is not called, and the gateway goes on with its even part.
+func TestANameWithoutACounterIsNotCalled(t *testing.T) {
+	b := severally(t)
+	p := b.arrive(Request{Customer: 7, Units: 1})
+	if len(b.counts) > 0 || !p.out {
+		t.Errorf("calls %+v, out %v", b.counts, p.out)
+	}
+}
