Counters in trouble while the list changes, in the model

30 limiters, a list that changes at half of them eight seconds later: the counters wiped, 29 times slower, one dead and replaced, the new one dying, a fifth of the limiters killed.

--- a/internal/model/counters_test.go
+++ b/internal/model/counters_test.go
@@ -92,3 +92,24 @@
 	require.Empty(t, moved.Violations)
 	require.Less(t, moved.Calls, 3*calm.Calls)
 }
+
+// A counter that is wiped, slow by tens of milliseconds, or dead and back elsewhere while the list changes.
+func TestCountersInTroubleWhileTheListChanges(t *testing.T) {
+	s := spreadOver(30, 3, 1)
+	_, calm := play(s, 9)
+	list := Fault{Kind: FaultList, At: 8, For: 8, Part: 0.5, Size: 3, Hall: 1}
+	for name, trouble := range map[string]Fault{
+		"wiped":             {Kind: FaultFlush, At: 10, Part: 1},
+		"slow":              {Kind: FaultSlow, At: 6, For: 12, Size: 29},
+		"dead, elsewhere":   {Kind: FaultLost, At: 6, For: 30, Hall: 0},
+		"the new one dies":  {Kind: FaultLost, At: 10, For: 6, Hall: 3},
+		"a limiter's death": {Kind: FaultLimiters, At: 10, For: 1, Part: 0.2},
+	} {
+		s.Faults = []Fault{list, trouble}
+		_, r := play(s, 9)
+		t.Logf("%s: beyond %.4f calm, %.4f; worth %.3f, %.3f", name, calm.OverQuota(), r.OverQuota(), calm.Worth(), r.Worth())
+		require.Empty(t, r.Violations, name)
+		require.Less(t, r.OverQuota(), calm.OverQuota()+0.03, name)
+		require.Greater(t, r.Worth(), calm.Worth()-0.12, name)
+	}
+}
