--- a/cmd/bramblefall/counters_test.go
+++ b/cmd/bramblefall/counters_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -66,12 +67,14 @@
 	}
 	out, _ := cli(t, 0, "check", script(t, filepath.Join(dir, "c.star"), counters("", c)))
 	require.Regexp(t, `counter +`+c.addr, out)
+	list := regexp.MustCompile(`list [0-9a-f]{16}`).FindString(out)
+	require.NotEmpty(t, list)
 
 	file := script(t, filepath.Join(dir, "operator.star"), counters("", c))
 	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, operator: file})
 	l.read(file, "bramblefall(counters = [])\n", "the old one is kept")
 	require.Contains(t, l.log.String(), "counters: minItems")
-	require.NotContains(t, l.log.String(), "counters reached=0")
+	require.Contains(t, l.log.String(), strings.Replace(list, " ", "=", 1), "limiters can be compared with the file")
 	require.Equal(t, "v", l.dial().do(ask("r1")...))
 }
 
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -15,8 +15,12 @@
 	Addresses []string
 }
 
-// Reach tells which counters may be called (effect): addresses by number.
-type Reach struct{ Counters map[int]string }
+// Reach tells which counters may be called (effect): addresses by number, those of former lists among them.
+type Reach struct {
+	Counters map[int]string
+	Listed   int    // on the newest list
+	List     string // its fingerprint
+}
 
 // call is a call for a name: one effect for each counter that it goes to, and one answer.
 type call struct {
@@ -64,7 +68,7 @@
 // counters tells everybody of the list.
 func (r *Reducer) counters() {
 	all := r.ring.Addresses()
-	r.do(Reach{all})
+	r.do(Reach{all, r.ring.Len(), r.ring.Fingerprint()})
 	r.tell(logic.CountersChanged{Listed: slices.Sorted(maps.Keys(all)), Among: r.ring.Len()})
 	if at, due := r.ring.Next(); due && (r.relistAt == 0 || at < r.relistAt) {
 		r.relistAt = at
--- a/internal/counter/set.go
+++ b/internal/counter/set.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"maps"
 	"slices"
 	"sync"
@@ -105,7 +104,6 @@
 		c.lazy = true
 		c.mu.Unlock()
 	}
-	slog.Info("counters", "reached", len(list))
 }
 
 // Count makes a call.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -174,6 +174,7 @@
 		l.counter.Count(e)
 	case core.Reach:
 		l.counter.Reach(e.Counters)
+		slog.Info("counters", "listed", e.Listed, "list", e.List, "reached", len(e.Counters))
 	case core.CloseIdle:
 		l.callers[e.Group].CloseIdle(e.Server)
 	case core.Publish:
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -11,7 +11,9 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -159,6 +161,15 @@
 	return all
 }
 
+// Fingerprint tells two lists apart: limiters of one fleet must show the same.
+func Fingerprint(addrs []string) string {
+	addrs = slices.Compact(slices.Sorted(slices.Values(addrs)))
+	return fmt.Sprintf("%016x", xxhash.Sum64String(strings.Join(addrs, ",")))
+}
+
+// Fingerprint is the newest list's.
+func (r *Ring) Fingerprint() string { return Fingerprint(r.list.addrs) }
+
 // Len is how many counters the newest list has.
 func (r *Ring) Len() int { return len(r.list.addrs) }
 
