--- a/cmd/bramblefall/counters_test.go
+++ b/cmd/bramblefall/counters_test.go
@@ -148,6 +148,7 @@
 	for name, hurt := range map[string]func(c *quotaCounter){
 		"well":   func(*quotaCounter) {},
 		"slow":   func(c *quotaCounter) { c.mu.Lock(); defer c.mu.Unlock(); c.late = 29 * time.Millisecond },
+		"gone":   func(c *quotaCounter) { c.mu.Lock(); defer c.mu.Unlock(); c.gone = true },
 		"silent": func(c *quotaCounter) { c.mu.Lock(); defer c.mu.Unlock(); c.silent = true },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -402,6 +402,7 @@
 	reply  string        // instead of the total, if not empty
 	late   time.Duration // of each answer
 	spoil  string        // the first answer, raw; its connection is of no further use
+	gone   bool          // its connections end
 
 	mu    sync.Mutex
 	names map[string]float64
@@ -419,11 +420,14 @@
 		lines := bufio.NewScanner(conn)
 		for useless := false; lines.Scan(); {
 			c.mu.Lock()
-			spoil, late := c.spoil, c.late
+			spoil, late, gone := c.spoil, c.late, c.gone
 			if c.spoil = ""; useless && lines.Text() != "ping" {
 				c.lost++
 			}
 			c.mu.Unlock()
+			if gone {
+				return
+			}
 			if spoil != "" {
 				useless = true
 				_, _ = io.WriteString(conn, spoil)
--- a/internal/counter/set_test.go
+++ b/internal/counter/set_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/spread"
 	"bramblefall/logic"
 )
 
@@ -24,9 +25,28 @@
 	addr         string
 	conns, calls atomic.Int64
 	open         atomic.Int64
+
+	mu   sync.Mutex
+	took time.Duration // by each call
+	free time.Time
+}
+
+// turn waits until a call has had its turn.
+func (h *hollow) turn() {
+	if h.took == 0 {
+		return
+	}
+	h.mu.Lock()
+	if now := time.Now(); h.free.Before(now.Add(-10 * h.took)) {
+		h.free = now
+	}
+	h.free = h.free.Add(h.took)
+	at := h.free
+	h.mu.Unlock()
+	time.Sleep(time.Until(at))
 }
 
-func newHollow(t *testing.T) *hollow {
+func newHollow(t testing.TB) *hollow {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	h := &hollow{addr: l.Addr().String()}
@@ -45,6 +65,7 @@
 				for lines := bufio.NewScanner(conn); lines.Scan(); {
 					answer := "pong"
 					if strings.HasPrefix(lines.Text(), "add ") {
+						h.turn()
 						h.calls.Add(1)
 						answer = "ok 1"
 					}
@@ -63,13 +84,18 @@
 	*Set
 	mu      sync.Mutex
 	answers map[uint64]logic.Status
+	after   func(core.CountResult) // nil: the answers are kept
 }
 
-func newCaller(t *testing.T, most int, addr string) *caller {
+func newCaller(t testing.TB, most int, addr string) *caller {
 	c := &caller{answers: map[uint64]logic.Status{}}
 	began := time.Now()
 	c.Set = New(addr, most, func(ev core.Event) {
 		e := ev.(core.CountResult)
+		if c.after != nil {
+			c.after(e)
+			return
+		}
 		c.mu.Lock()
 		c.answers[e.Call] = e.Status
 		c.mu.Unlock()
@@ -155,3 +181,44 @@
 	}
 	return true
 }
+
+// BenchmarkCalls has ten limiters' sets call, over sockets, counters of which each bears what the platform's does, 660 a second.
+func BenchmarkCalls(b *testing.B) {
+	for _, n := range []int{1, 2, 4, 8, 16} {
+		b.Run(fmt.Sprintf("counters=%d", n), func(b *testing.B) {
+			var list []string
+			for range n {
+				h := newHollow(b)
+				h.took = time.Second / 660
+				list = append(list, h.addr)
+			}
+			ring := spread.New(list)
+			var made atomic.Int64
+			done := make(chan struct{}, b.N)
+			b.ResetTimer()
+			for k := range 10 {
+				c := newCaller(b, mostLinks, list[0])
+				next := func() {
+					if id := uint64(made.Add(1)); id <= uint64(b.N) {
+						c.call(id, ring.Of(0, id, 0).To[0])
+					}
+				}
+				c.after = func(e core.CountResult) {
+					if e.Status != logic.OK {
+						b.Errorf("call %d of set %d: %v", e.Call, k, e.Status)
+					}
+					done <- struct{}{}
+					go next() // the answer comes under the client's lock
+				}
+				c.Reach(ring.Addresses())
+				for range 16 * n {
+					next()
+				}
+			}
+			for range b.N {
+				<-done
+			}
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
