--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -55,7 +55,7 @@
 		most = max(most-admin.Descriptors, fewDescriptors)
 	}
 	links := counter.Connections(len(file.Counters), max(cfg.Limits.Sockets, fewDescriptors))
-	most = max(most-(links-counter.Connections(0, 0)), fewDescriptors) // beyond the own descriptors
+	most -= min(links-counter.Connections(0, 0), most/2) // those beyond the program's own
 	book, keeper, err := openBook(cfg, file)
 	if err != nil {
 		return err
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -281,10 +281,13 @@
 			end(c.heal)
 		}
 	case FaultLost:
-		c := w.counters[f.Hall]
+		c := w.counters[f.Hall%len(w.counters)]
 		c.dies()
 		end(func() { c.dead = false })
 	case FaultList:
+		if w.s.Counter.Count == 0 {
+			return // there is no list
+		}
 		next := listed{f.Hall, int(f.Size)}
 		later := some(len(w.limiters))
 		for _, l := range w.limiters {
