--- a/cmd/bramblefall/check.go
+++ b/cmd/bramblefall/check.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"bramblefall/internal/spread"
 )
 
 // checkCommand reads an operators' file as the limiter would. No running limiter is needed.
@@ -29,6 +32,9 @@
 			if file.Admin != nil {
 				rows = append(rows, []string{"admin", file.Admin.Socket, "at the start", "", ""})
 			}
+			for _, x := range file.Counters {
+				rows = append(rows, []string{"counter", x.Address, "at once", "", fmt.Sprintf("one of %d, list %s", len(file.Counters), spread.Fingerprint(file.Addresses()))})
+			}
 			return o.write(c.OutOrStdout(), file, "WHAT WHICH FROM SIZE NOTE", rows)
 		}}
 	o.flag(c)
--- a/internal/model/counter_test.go
+++ b/internal/model/counter_test.go
@@ -71,8 +71,8 @@
 
 	w = New(s, 1, Own(), false)
 	w.sim.Run(begin + seconds(5))
-	require.Equal(t, 3.0, w.counter.add(0, 77, 3, seconds(9)))
-	require.Equal(t, 4.0, w.counter.add(1, 77, 4, seconds(9)), "a copy of its own")
+	require.Equal(t, 3.0, w.counters[0].add(0, 77, 3, seconds(9)))
+	require.Equal(t, 4.0, w.counters[0].add(1, 77, 4, seconds(9)), "a copy of its own")
 }
 
 // A change is in force at each limiter when discovery has told it, and not before.
