--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -266,6 +266,22 @@
 	assert.Equal(t, told, Check(told, one, other).Page)
 }
 
+func TestOfAddedTimesTheLargestIsTakenThatTheFormulaAllows(t *testing.T) {
+	f := figuresOfATest()
+	f.Added = []scale.AddedTime{{PerSecond: 63, Control: true, P99: 2, Limiters: 100}, {PerSecond: 63, Control: true, P99: 3, Limiters: 57},
+		{PerSecond: 63, Control: true, P99: 36, Limiters: 5700}, {PerSecond: 630, Control: true, P99: 5, Limiters: 100}, {PerSecond: 63, P99: 99}}
+	r := &reviewer{figures: merge([]File{f}), names: values{"limiters": 5700, "requests": 5700 * 63, "servers": 1}}
+	for formula, want := range map[string]string{
+		`added("p99_ms", control=True, per_second=63)`:                    "0.0360 measured",
+		`added("p99_ms", control=True, per_second=63, most_limiters=100)`: "0.00300 measured, extrapolated x100 (limiters)",
+		`added("p99_ms", control=True)`:                                   "0.00500 measured, extrapolated x57 (limiters)",
+	} {
+		n, err := r.evaluate(formula)
+		require.NoError(t, err)
+		assert.Equal(t, want, number(n.value)+" "+n.from(), formula)
+	}
+}
+
 func TestOfOneRunOfTheModelInTwoFilesTheLastIsTaken(t *testing.T) {
 	f := figuresOfATest()
 	longer := File{"b.json", scale.Figures{Version: 1, Quota: []scale.QuotaError{f.Quota[0]}}}
--- a/internal/capacity/eval.go
+++ b/internal/capacity/eval.go
@@ -363,21 +363,22 @@
 	return v, nil
 }
 
-// addedTime gives a field, in seconds, of the run with so many requests a second of each limiter, or with the most; of several
-// the largest.
+// addedTime gives a field, in seconds, of the run with so many requests a second of each limiter, or with the most, beside no
+// more than so many limiters on the machine; of several the largest.
 func (r *reviewer) addedTime(n *noted, args starlark.Tuple, named []starlark.Tuple) (float64, error) {
 	var field string
 	var control bool
 	var rate float64
+	most := math.MaxInt
 	given := starlark.Value(starlark.None)
-	if err := starlark.UnpackArgs("added", args, named, "field", &field, "control", &control, "per_second?", &given); err != nil {
+	if err := starlark.UnpackArgs("added", args, named, "field", &field, "control", &control, "per_second?", &given, "most_limiters?", &most); err != nil {
 		return 0, err
 	}
 	if v, err := float(given); err == nil {
 		rate = v
 	} else {
 		for _, a := range r.figures.added {
-			if a.Control == control {
+			if a.Control == control && a.Limiters <= most {
 				rate = max(rate, a.PerSecond)
 			}
 		}
@@ -385,7 +386,7 @@
 	largest := -1.0
 	var best scale.AddedTime
 	for _, a := range r.figures.added {
-		if a.Control != control || !near(a.PerSecond, rate) {
+		if a.Control != control || a.Limiters > most || !near(a.PerSecond, rate) {
 			continue
 		}
 		v, ok := map[string]float64{"p50_ms": a.P50 / 1000, "p99_ms": a.P99 / 1000, "straight_p99_ms": a.Straight / 1000, "per_second": a.PerSecond,
