A discovery that stops within each list is heard after some watches

Seen: in a trial whose agent took 150 ms between a list's head and its entries the real program, with a grace of 500 ms, left every watch ("in the middle of a line") and never had a list: 20 asks in 4 s.

Cause: a quarter of the grace is all that the middle of a list may stand still (pulse.beat, terms.stuck), and the next watch begins anew, so that a stop which comes within each list is met each time. Excluded: the limiter standing still (the log of the agent has its own time between the two writes).

Change: after eight watches in a row that were left in the middle, which a good word ends, half a second is not too long. What a short list has told of a drain is used as soon as before in the first eight.

Test: TestADiscoveryThatStopsWithinEachListIsHeard; without the longer wait it waits in vain for 20 s (seen).

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -58,6 +58,7 @@
 	terms terms
 
 	version atomic.Int64
+	stalls  atomic.Int64  // the follower's, for the next watch
 	heard   chan struct{} // closed once discovery has brought a whole word: a list, or an empty line where there is no news
 	hear    func()
 
@@ -150,6 +151,7 @@
 				continue // the one that had fallen silent goes on
 			}
 			n := f.ask(time.Since(began))
+			c.stalls.Store(int64(f.stalls))
 			here, end := context.WithCancel(ctx)
 			watches[n] = end
 			path := "http://" + addr + "/registry/instances?watch=1&from=" + strconv.FormatInt(c.version.Load(), 10)
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -21,6 +21,8 @@
 	refusal     = time.Second     // until a list that was refused is asked for again, half of it at least
 	mostHead    = time.Second
 	leastStuck  = 50 * time.Millisecond
+	mostStuck   = 500 * time.Millisecond // in the middle of a list, after mostStalls watches left there in a row
+	mostStalls  = 8
 	usualGrace  = 500 * time.Millisecond // where the settings name none
 	mostGrace   = 2 * time.Second        // that asks are timed by: 6 s bind with any grace
 	graceSpread = 0.8                    // of the grace, over which a fleet's asks are spread
@@ -55,6 +57,15 @@
 // stuck is how long the rest of a line may take after its last byte: what has come of it may count as told.
 func (t terms) stuck() time.Duration { return max(t.grace/4, leastStuck) }
 
+// patience is how long it may take behind so many watches in a row that were left in the middle. Guards against a discovery that
+// stops for longer than that within each list, and whose lists would begin anew for good.
+func (t terms) patience(stalls int) time.Duration {
+	if stalls < mostStalls {
+		return t.stuck()
+	}
+	return max(t.stuck(), mostStuck)
+}
+
 // follower decides when discovery is asked and which of at most three watches is believed. It does nothing itself and
 // reads no clock; watches go by their numbers, from 1.
 type follower struct {
@@ -69,6 +80,7 @@
 	useless bool          // a list that is refused
 	began   time.Duration // live
 	tries   int           // in a row that came to little
+	stalls  int           // watches in a row that were left in the middle of a line or list
 	lasted  time.Duration // the last that ended or was left, from its ask
 }
 
@@ -89,7 +101,7 @@
 			drop = append(drop, other)
 		}
 	}
-	f.live, f.kept, f.pending, f.lines, f.silent = watch, 0, 0, true, false
+	f.live, f.kept, f.pending, f.lines, f.silent, f.stalls = watch, 0, 0, true, false, 0
 	return true, drop
 }
 
@@ -114,6 +126,9 @@
 		}
 		silent := !f.lines && !mid
 		f.leave(now, mid)
+		if mid {
+			f.stalls++
+		}
 		f.silent, due = silent, true
 	}
 	return drop, due
--- a/internal/discovery/return_test.go
+++ b/internal/discovery/return_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -80,21 +81,24 @@
 	limit := f.head()
 	switch {
 	case c.until >= 0 && c.mid:
-		limit = f.stuck()
+		limit = f.patience(f.stalls)
 	case c.until >= 0:
 		limit = silence
 	}
 	now += max(c.until, 0)
-	due := false
+	after, due := c.after, false
+	if c.mid && after > 0 && limit > f.stuck() { // as late as is waited for, which is longer now
+		after += limit - f.stuck()
+	}
 	switch {
-	case c.end == silent || c.after > limit:
+	case c.end == silent || after > limit:
 		now += limit
 		_, due = f.doubted(now, n, c.mid)
 	case c.end == broken:
-		now += c.after
+		now += after
 		due = f.ended(now, n, c.mid)
 	default:
-		now += c.after
+		now += after
 		due = f.refused(now, n)
 	}
 	require.True(t, due, c)
@@ -108,10 +112,11 @@
 // byte. A call that was asked when it was back brings the list.
 func TestTheNextCallBeginsInTimeAfterAnyCalls(t *testing.T) {
 	worst := map[bool]late{}
-	for _, m := range manyTerms() {
+	for n := range 2 * len(manyTerms()) {
+		m, stalls := manyTerms()[n/2], n%2*mostStalls
 		for _, c := range calls(m) {
 			for _, luck := range []float64{0, 1} {
-				f := follower{terms: m}
+				f := follower{terms: m, stalls: stalls}
 				next, l := c.then(t, &f, 0, luck)
 				for _, d := range calls(m) {
 					for _, luck := range []float64{0, 1} {
@@ -312,3 +317,14 @@
 	require.ErrorContains(t, x.err, "503")
 	require.False(t, x.mid)
 }
+
+// A discovery that stops within each list, for longer than a list may stand still, is heard all the same.
+func TestADiscoveryThatStopsWithinEachListIsHeard(t *testing.T) {
+	b := followLarge(t, strings.TrimPrefix(serve(t, func(ask *http.Request, out io.Writer) {
+		_, _ = io.WriteString(out, `{"version":41,"full":true,`)
+		time.Sleep(200 * time.Millisecond) // three times as long
+		_, _ = io.WriteString(out, `"servers":[`+entry(1, "")+"]}\n")
+		<-ask.Context().Done()
+	}), "http://"))
+	wait(t, "the list", func() bool { return b.size() == 1 })
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -63,7 +63,7 @@
 		case <-followed.Done():
 		}
 	}
-	p := &pulse{terms: c.terms}
+	p := &pulse{terms: c.terms, stalls: int(c.stalls.Load())}
 	p.timer = lastwords.AfterFunc(never, func() {
 		if !p.late() {
 			say(word{kind: doubt, mid: p.mid()})
@@ -182,11 +182,12 @@
 // pulse notes whether an answer lives, on the bare connection: net/http hands on a chunk once it is whole, so that one
 // which stops short looks to a reader of the body like none.
 type pulse struct {
-	terms terms
-	timer *time.Timer
-	look  atomic.Bool // the time is over, and the connection is given a last look
-	open  atomic.Bool // the last byte on the connection ended no line
-	list  atomic.Bool // a list has begun in the body, and not ended
+	terms  terms
+	stalls int // of watches before
+	timer  *time.Timer
+	look   atomic.Bool // the time is over, and the connection is given a last look
+	open   atomic.Bool // the last byte on the connection ended no line
+	list   atomic.Bool // a list has begun in the body, and not ended
 }
 
 // mid tells whether the answer stands in the middle of a line, or of a list that goes over several. Guards against an
@@ -206,7 +207,7 @@
 func (p *pulse) beat() {
 	p.look.Store(false)
 	if p.mid() {
-		p.timer.Reset(p.terms.stuck())
+		p.timer.Reset(p.terms.patience(p.stalls))
 	} else {
 		p.timer.Reset(silence)
 	}
