Clients that rest in the middle of a command make room for others

Seen, in a trial with 300 clients that bring 30 bytes of a command and come again as soon as they are closed, at a process with 128 descriptors: another client was let in 6 times and once in 12 s (two forms), each time as the 2.4 s of those in the front ran out. A restarted limiter may so be out of reach for its 10 s.

Lines at fault: Front.evict looked at idle connections alone.

Change: where none is idle, one that has waited 0.1 s for the rest of a command, and is owed nothing else, is closed in the same way; what crosses the close is refused or not read, as before.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -47,7 +47,8 @@
 	longIdle   = 20 * time.Second        // between commands
 
 	aboutToSpeak = time.Second
-	lastWord     = 2 * time.Second // for what waits before the end of a connection that cannot be read
+	halfWait     = 100 * time.Millisecond // for the rest of a command, where others have no room
+	lastWord     = 2 * time.Second        // for what waits before the end of a connection that cannot be read
 )
 
 // Owner takes the events of the front.
@@ -201,20 +202,27 @@
 // evict closes the client connection that has been idle longest, those first that have been silent since they came
 // and for a while: the descriptors are needed for the servers, too. If a command crosses the close, its client sends
 // it again; one that has just come is about to speak. One of which something waits to be read is passed over for the next.
+// Where none is idle one goes that has brought half a command and not the rest: of that nothing has been taken.
 func (f *Front) evict(newest *clientConnection) {
-	var idle []idleness
+	var idle, half []idleness
 	for _, c := range f.all() {
 		i := c.idle()
 		if !i.spoke && time.Since(i.since) > aboutToSpeak {
 			i.since = i.since.Add(-longIdle)
 		}
-		if i.is && c != newest {
+		switch {
+		case c == newest:
+		case i.is:
 			idle = append(idle, i)
+		case i.half:
+			half = append(half, i)
 		}
 	}
-	slices.SortFunc(idle, func(a, b idleness) int { return a.since.Compare(b.since) })
-	for _, i := range idle {
-		if i.of.closeIdle() {
+	longest := func(a, b idleness) int { return a.since.Compare(b.since) }
+	slices.SortFunc(idle, longest)
+	slices.SortFunc(half, longest)
+	for _, i := range append(idle, half...) {
+		if i.of.closeIdle(i.half) {
 			return
 		}
 	}
@@ -230,6 +238,7 @@
 type idleness struct {
 	of        *clientConnection
 	is, spoke bool // nothing is owed on it; it has brought a whole command
+	half      bool // nothing is owed on it but the answer to a command whose rest does not come
 	since     time.Time
 }
 
@@ -425,15 +434,16 @@
 func (c *clientConnection) idle() idleness {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return idleness{c, len(c.slots) == 0 && !c.partial, c.spoke, c.usedAt}
+	free := len(c.slots) == 0
+	return idleness{c, free && !c.partial, c.spoke, free && c.partial && time.Since(c.partAt) > halfWait, c.usedAt}
 }
 
 // closeIdle closes the connection if nothing is owed on it. Guards against a command that comes meanwhile: up to the
 // last moment the kernel is asked for one, and what comes after that is not read, so that its client sends it again. It
-// tells whether the connection is being closed.
-func (c *clientConnection) closeIdle() bool {
+// tells whether the connection is being closed. Half: also if a part of a command has come.
+func (c *clientConnection) closeIdle(half bool) bool {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending && c.out.Empty() && c.conn.Quiet()
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Quiet()
 	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
@@ -449,7 +459,7 @@
 		return
 	}
 	if i := c.idle(); i.is && (i.spoke || time.Since(i.since) > aboutToSpeak) {
-		c.closeIdle()
+		c.closeIdle(false)
 	}
 }
 
@@ -465,7 +475,7 @@
 	case part:
 		c.refuse("the rest of the command did not come", true)
 	case i.is && (!i.spoke && now.Sub(i.since) >= firstWord || now.Sub(i.since) >= longIdle):
-		c.closeIdle()
+		c.closeIdle(false)
 	}
 }
 
