Scale rig: hollow limiters start a few at once, and bear that they share a processor

Seen on four cores: of 3,900 hollow limiters started at once 3,861 had no list after 20 s. They shared the processor, so a watch stood for over 125 ms in the middle of its line, was doubted, and asked for the whole list again, as all did. A real limiter has a processor of its own. Now 40 of each process start at once, and a hollow limiter's settings name a grace of 4 s.

--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -28,6 +28,8 @@
 	moreRequests  = 10
 	firmsPerRate  = 4.25 // firms that a limiter sees for each request a second: 268 at 63
 	firmSpread    = 3
+	hollowGrace   = 4 * time.Second
+	mostAdded     = 40 // hollow limiters that one process starts at once
 	usualGrace    = 500 * time.Millisecond
 	serversEach   = 10  // servers for each limiter: 57,000 for 5,700
 	mostBeside    = 100 // hollow limiters while added time is held against its bound
@@ -59,6 +61,7 @@
 	Settle       time.Duration
 	Beside       float64       // changes a second while something else grows
 	Grace        time.Duration // for a drain, by the settings: how soon a silent watch is doubted follows from it
+	HollowGrace  time.Duration // the same for hollow ones, which share a processor: a watch is not doubted because others had it
 
 	small bool // the short form: counts only
 }
@@ -76,14 +79,14 @@
 func QuickSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(1000, hollowProcesses), FleetServers: 100, Servers: spread(10_000, 1), Changes: []float64{0.8, 3, 8, 25, 80},
 		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(2000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
-		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace}
+		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace, HollowGrace: hollowGrace}
 }
 
 // FullSizes are those of the target, as far as a machine bears them.
 func FullSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(5700, hollowProcesses), FleetServers: 570, Servers: spread(57_000, 1), Changes: []float64{0.38, 1.2, 3.8, 12, 38},
 		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(10_000, 1), Known: spread(100_000, 1), Told: spread(1000, 1), Services: spread(1000, 1),
-		Calls: 1, Window: 4 * time.Second, Settle: time.Second, Beside: 2, Grace: usualGrace}
+		Calls: 1, Window: 4 * time.Second, Settle: time.Second, Beside: 2, Grace: usualGrace, HollowGrace: hollowGrace}
 }
 
 // Set replaces sizes that are not 0, and those of their sweeps.
@@ -600,16 +603,29 @@
 		}
 		r.hollow, r.hollowCount = append(r.hollow, p), append(r.hollowCount, 0)
 	}
-	for k := range r.hollow {
-		n := to / hollowProcesses
-		if k < to%hollowProcesses {
-			n++
+	for some := true; some; { // a few at once: a machine that thousands share does not start them all
+		some = false
+		for k := range r.hollow {
+			n := to / hollowProcesses
+			if k < to%hollowProcesses {
+				n++
+			}
+			n = min(n-r.hollowCount[k], mostAdded)
+			if err := r.add(k, n); err != nil {
+				return err
+			}
+			some = some || n > 0
 		}
-		if err := r.add(k, n-r.hollowCount[k]); err != nil {
+		if err := r.listedAll(); err != nil {
 			return err
 		}
 	}
 	r.figures.Hollow = max(r.figures.Hollow, r.hollows())
+	return nil
+}
+
+// listedAll waits until all hollow limiters have the list.
+func (r *run) listedAll() error {
 	_, behind, err := r.arrivals(hearLimit, r.hollow)
 	if err == nil && behind > 0 {
 		err = fmt.Errorf("%d of %d hollow limiters have no list after %s", behind, r.hollows(), hearLimit)
@@ -622,7 +638,7 @@
 		return nil
 	}
 	r.hollowCount[k] += n
-	return r.f.call(r.hollow[k], "Role.Add", HollowAdd{n, r.discoveryAt.Hollow, r.counterAt.Hollow, r.fleetSize(), r.Sizes.Calls, r.Sizes.Grace}, new(int))
+	return r.f.call(r.hollow[k], "Role.Add", HollowAdd{n, r.discoveryAt.Hollow, r.counterAt.Hollow, r.fleetSize(), r.Sizes.Calls, r.Sizes.HollowGrace}, new(int))
 }
 
 // shrink ends all hollow limiters, when their calls are answered.
@@ -783,8 +799,10 @@
 	if n := r.hollows(); n > mostBeside {
 		// A change told to all of them takes all of this machine for a moment, which is not what a limiter has a machine of its
 		// own for: what bounds are held against is measured beside few.
-		if err := r.controlled(targetRate); err != nil {
-			return err
+		if !r.Quick {
+			if err := r.controlled(targetRate); err != nil {
+				return err
+			}
 		}
 		if err := r.shrink(); err != nil {
 			return err
