--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -350,6 +350,7 @@
 
 // rates is what was used a second between two samples.
 type rates struct {
+	seconds                    float64
 	processor                  map[string]float64
 	limiter                    []float64  // processor
 	discovery, counter         [2]float64 // messages, bytes
@@ -359,7 +360,7 @@
 
 func between(a, b sample) (x rates) {
 	s := (b.at - a.at).Seconds()
-	x.processor = map[string]float64{}
+	x.seconds, x.processor = s, map[string]float64{}
 	for role := range b.processor {
 		x.processor[role] = (b.processor[role] - a.processor[role]).Seconds() / s
 	}
@@ -704,9 +705,8 @@
 	r.ledger.note("hollow", "memory", against, size, memory)
 	r.ledger.note("hollow", "processor", against, size, x.processor["hollow"])
 	d, c := x.discoveryTold.Hollow, x.counterTold.Hollow
-	s := r.Sizes.Window.Seconds()
-	r.ledger.note("hollow", "messages", against, size, float64(d.Messages+c.Messages)/s)
-	r.ledger.note("hollow", "bytes", against, size, float64(d.Bytes+c.Bytes)/s)
+	r.ledger.note("hollow", "messages", against, size, float64(d.Messages+c.Messages)/x.seconds)
+	r.ledger.note("hollow", "bytes", against, size, float64(d.Bytes+c.Bytes)/x.seconds)
 }
 
 // moments has a rack and a zone go and come back, and a tenth of the limiters restart, with the real ones under load.
