--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -28,6 +28,8 @@
 	moreRequests  = 10
 	firmsPerRate  = 4.25 // firms that a limiter sees for each request a second: 268 at 63
 	firmSpread    = 3
+	hollowGrace   = 4 * time.Second
+	mostAdded     = 40 // hollow limiters that one process starts at once
 	usualGrace    = 500 * time.Millisecond
 	serversEach   = 10  // servers for each limiter: 57,000 for 5,700
 	mostBeside    = 100 // hollow limiters while added time is held against its bound
@@ -59,6 +61,7 @@
 	Settle       time.Duration
 	Beside       float64       // changes a second while something else grows
 	Grace        time.Duration // for a drain, by the settings: how soon a silent watch is doubted follows from it
+	HollowGrace  time.Duration // the same for hollow ones, which share a processor: a watch is not doubted because others had it
 
 	small bool // the short form: counts only
 }
@@ -76,14 +79,14 @@
 func QuickSizes() Sizes {
 	return Sizes{Real: 8, Fleet: spread(1000, hollowProcesses), FleetServers: 100, Servers: spread(10_000, 1), Changes: []float64{0.8, 3, 8, 25, 80},
 		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(2000, 1), Known: spread(10_000, 1), Told: spread(200, 1), Services: spread(1000, 1),
-		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace}
+		Calls: 2, Window: time.Second, Settle: 300 * time.Millisecond, Beside: 4, Grace: usualGrace, HollowGrace: hollowGrace}
 }
 
 // FullSizes are those of the target, as far as a machine bears them.
 func FullSizes() Sizes {
-	return Sizes{Real: 8, Fleet: spread(5700, hollowProcesses), FleetServers: 570, Servers: spread(57_000, 1), Changes: []float64{0.38, 1.2, 3.8, 12, 38},
+	return Sizes{Real: 8, Fleet: spread(5700, hollowProcesses), FleetServers: 200, Servers: spread(57_000, 1), Changes: []float64{0.38, 1.2, 3.8, 12, 38},
 		Rates: []float64{6.3, 20, 63, 200, 630}, Active: spread(10_000, 1), Known: spread(100_000, 1), Told: spread(1000, 1), Services: spread(1000, 1),
-		Calls: 1, Window: 4 * time.Second, Settle: time.Second, Beside: 2, Grace: usualGrace}
+		Calls: 1, Window: 4 * time.Second, Settle: time.Second, Beside: 2, Grace: usualGrace, HollowGrace: hollowGrace}
 }
 
 // Set replaces sizes that are not 0, and those of their sweeps.
@@ -347,6 +350,7 @@
 
 // rates is what was used a second between two samples.
 type rates struct {
+	seconds                    float64
 	processor                  map[string]float64
 	limiter                    []float64  // processor
 	discovery, counter         [2]float64 // messages, bytes
@@ -356,7 +360,7 @@
 
 func between(a, b sample) (x rates) {
 	s := (b.at - a.at).Seconds()
-	x.processor = map[string]float64{}
+	x.seconds, x.processor = s, map[string]float64{}
 	for role := range b.processor {
 		x.processor[role] = (b.processor[role] - a.processor[role]).Seconds() / s
 	}
@@ -566,8 +570,10 @@
 }
 
 const (
-	lookAgain = 20 * time.Millisecond
-	hearLimit = 20 * time.Second // until the last has a change or a list
+	quietBytes = 1000 // of a real limiter's watch in quietFor, where nothing is told but empty lines
+	quietFor   = 300 * time.Millisecond
+	lookAgain  = 20 * time.Millisecond
+	hearLimit  = 20 * time.Second // until the last has a change or a list
 )
 
 // arrivals waits until the hollow limiters of these processes have the last version.
@@ -600,16 +606,29 @@
 		}
 		r.hollow, r.hollowCount = append(r.hollow, p), append(r.hollowCount, 0)
 	}
-	for k := range r.hollow {
-		n := to / hollowProcesses
-		if k < to%hollowProcesses {
-			n++
+	for some := true; some; { // a few at once: a machine that thousands share does not start them all
+		some = false
+		for k := range r.hollow {
+			n := to / hollowProcesses
+			if k < to%hollowProcesses {
+				n++
+			}
+			n = min(n-r.hollowCount[k], mostAdded)
+			if err := r.add(k, n); err != nil {
+				return err
+			}
+			some = some || n > 0
 		}
-		if err := r.add(k, n-r.hollowCount[k]); err != nil {
+		if err := r.listedAll(); err != nil {
 			return err
 		}
 	}
 	r.figures.Hollow = max(r.figures.Hollow, r.hollows())
+	return nil
+}
+
+// listedAll waits until all hollow limiters have the list.
+func (r *run) listedAll() error {
 	_, behind, err := r.arrivals(hearLimit, r.hollow)
 	if err == nil && behind > 0 {
 		err = fmt.Errorf("%d of %d hollow limiters have no list after %s", behind, r.hollows(), hearLimit)
@@ -622,7 +641,7 @@
 		return nil
 	}
 	r.hollowCount[k] += n
-	return r.f.call(r.hollow[k], "Role.Add", HollowAdd{n, r.discoveryAt.Hollow, r.counterAt.Hollow, r.fleetSize(), r.Sizes.Calls, r.Sizes.Grace}, new(int))
+	return r.f.call(r.hollow[k], "Role.Add", HollowAdd{n, r.discoveryAt.Hollow, r.counterAt.Hollow, r.fleetSize(), r.Sizes.Calls, r.Sizes.HollowGrace}, new(int))
 }
 
 // shrink ends all hollow limiters, when their calls are answered.
@@ -688,9 +707,8 @@
 	r.ledger.note("hollow", "memory", against, size, memory)
 	r.ledger.note("hollow", "processor", against, size, x.processor["hollow"])
 	d, c := x.discoveryTold.Hollow, x.counterTold.Hollow
-	s := r.Sizes.Window.Seconds()
-	r.ledger.note("hollow", "messages", against, size, float64(d.Messages+c.Messages)/s)
-	r.ledger.note("hollow", "bytes", against, size, float64(d.Bytes+c.Bytes)/s)
+	r.ledger.note("hollow", "messages", against, size, float64(d.Messages+c.Messages)/x.seconds)
+	r.ledger.note("hollow", "bytes", against, size, float64(d.Bytes+c.Bytes)/x.seconds)
 }
 
 // moments has a rack and a zone go and come back, and a tenth of the limiters restart, with the real ones under load.
@@ -783,8 +801,10 @@
 	if n := r.hollows(); n > mostBeside {
 		// A change told to all of them takes all of this machine for a moment, which is not what a limiter has a machine of its
 		// own for: what bounds are held against is measured beside few.
-		if err := r.controlled(targetRate); err != nil {
-			return err
+		if !r.Quick {
+			if err := r.controlled(targetRate); err != nil {
+				return err
+			}
 		}
 		if err := r.shrink(); err != nil {
 			return err
@@ -857,11 +877,7 @@
 		if n < r.listed {
 			continue
 		}
-		if _, err := r.change(Change{Grow: n}, hearLimit); err != nil {
-			return err
-		}
-		r.listed = n
-		if err := r.f.wait(r.Sizes.Settle); err != nil {
+		if err := r.lengthen(n); err != nil {
 			return err
 		}
 		x, _, err := r.window(r.Sizes.Window, nil, []Steady{{PerSecond: r.Sizes.Beside, For: r.Sizes.Window}})
@@ -883,6 +899,39 @@
 	return r.longList()
 }
 
+// lengthen has the list grow and waits until the real limiters read no more of it.
+func (r *run) lengthen(to int) error {
+	from := now()
+	m, err := r.change(Change{Grow: to}, hearLimit)
+	if err != nil {
+		return err
+	}
+	added := to - r.listed
+	r.listed = to
+	before := int64(-1)
+	for last := now(); now()-from < hearLimit; {
+		var t Sides
+		if err := r.f.call(r.discovery, "Role.Traffic", 0, &t); err != nil {
+			return err
+		}
+		if b := t.real().Bytes; b-before > int64(quietBytes*len(r.real)) {
+			before, last = b, now()
+		}
+		if now()-last > max(r.Sizes.Settle, quietFor) {
+			break
+		}
+		if err := r.f.wait(lookAgain); err != nil {
+			return err
+		}
+	}
+	if added > 0 {
+		m.Name, m.Servers = "growth", to
+		m.Note = joinNotes(fmt.Sprintf("%d servers more, %d in a line at most", added, mostAtOnce), m.Note)
+		r.figures.Moments = append(r.figures.Moments, m)
+	}
+	return nil
+}
+
 func (r *run) longList() error {
 	if err := r.goAndComeBack("zone", Change{To: r.listed, Step: len(zones)}, r.Sizes.Settle); err != nil {
 		return err
