--- a/internal/model/audit.go
+++ b/internal/model/audit.go
@@ -130,7 +130,6 @@
 type CallResult struct {
 	Made, Answered int // with a total, while it was of use
 	Slow           int // of these, later than the settings' limit
-	Turned         int // away
 }
 
 // Unanswered is the share of the calls that brought no total within the settings' limit: late, lost or turned away.
@@ -234,8 +233,6 @@
 func (a *audit) heard(made, until time.Duration, s logic.Status) {
 	switch now := a.w.sim.now; {
 	case !a.callCounts(made):
-	case s == logic.Full:
-		a.r.Called.Turned++
 	case s == logic.OK && now <= until:
 		a.r.Called.Answered++
 		if now > made+milliseconds(a.w.s.Counter.TimeoutMS) {
--- a/internal/scale/modelled.go
+++ b/internal/scale/modelled.go
@@ -212,27 +212,10 @@
 	values["worst minute, changes"], values["worst minute, deviation"] = meanAndDeviation(minutes)
 	values["worst second of the days, changes"], values["worst minute of the days, changes"] = slices.Max(seconds), slices.Max(minutes)
 
-	at := drawDay(seed)
-	_, from := worst(at, span)
-	s := model.Base()
-	s.Name, s.Limiters, s.Nodes, s.Firms.Count, s.Warm = "worst minute", limiters, servers, 12*limiters, 10
-	s.Firms.Spread = model.Range{float64(limiters), float64(limiters)}
-	s.Seconds = s.Warm + span + 10
-	calm := s
-	// A server that is replaced is three changes: it drains, is gone, and another comes.
-	n := 0
-	for _, t := range at {
-		if t >= from && t < from+span {
-			if n++; n%3 == 1 {
-				s.Faults = append(s.Faults, model.Fault{Kind: model.FaultDrain, At: s.Warm + t - from, Part: 0.1 / float64(servers)})
-			}
-		}
+	r, quiet, firms, err := playBurst(ctx, seed, limiters, servers, span)
+	if err != nil {
+		return Moment{}, err
 	}
-	list := lab.Parallel(ctx, []lab.Job{{Scenario: s, Policy: model.Own(), Seed: seed}, {Scenario: calm, Policy: model.Own(), Seed: seed}}, nil)
-	if len(list) < 2 {
-		return Moment{}, ctx.Err()
-	}
-	r, quiet := list[0].Result, list[1].Result
 	progress(fmt.Sprintf("day: %d changes told in the worst minute, in force after %.2f s at the last", r.Changes.Told, r.Changes.Last))
 	values["played, changes at each limiter"] = float64(r.Changes.Told) / float64(limiters)
 	values["played, served"] = float64(r.Served) / float64(max(r.Requests, 1))
@@ -263,7 +246,32 @@
 		Note: fmt.Sprintf("%d changes a day, half of them in releases of some hundred servers; %d days drawn; the worst %.0f s of the first played with "+
 			"%d limiters, %d firms and %d servers (held small); p99_s and last_s: from a change until it is in force at a limiter, the most of it "+
 			"discovery's own 0.5 to 3 s; messages and bytes: what one limiter takes in the worst minute of these days", dayChanges, days, span,
-			limiters, s.Firms.Count, servers)}, nil
+			limiters, firms, servers)}, nil
+}
+
+// playBurst plays the span of a day in which the most changes come, and the same time without any.
+func playBurst(ctx context.Context, seed uint64, limiters, servers int, span float64) (burst, calm model.Result, firms int, err error) {
+	at := drawDay(seed)
+	_, from := worst(at, span)
+	s := model.Base()
+	s.Name, s.Limiters, s.Nodes, s.Firms.Count, s.Warm = "worst minute", limiters, servers, 12*limiters, 10
+	s.Firms.Spread = model.Range{float64(limiters), float64(limiters)}
+	s.Seconds = s.Warm + span + 10
+	quiet := s
+	// A server that is replaced is three changes: it drains, is gone, and another comes.
+	n := 0
+	for _, t := range at {
+		if t >= from && t < from+span {
+			if n++; n%3 == 1 {
+				s.Faults = append(s.Faults, model.Fault{Kind: model.FaultDrain, At: s.Warm + t - from, Part: 0.1 / float64(servers)})
+			}
+		}
+	}
+	list := lab.Parallel(ctx, []lab.Job{{Scenario: s, Policy: model.Own(), Seed: seed}, {Scenario: quiet, Policy: model.Own(), Seed: seed}}, nil)
+	if len(list) < 2 {
+		return burst, calm, 0, ctx.Err()
+	}
+	return list[0].Result, list[1].Result, s.Firms.Count, nil
 }
 
 // changeCost is the processor time, in us, that the reducer takes for a change of one server among many: the mean, and the
--- a/internal/scale/quota_test.go
+++ b/internal/scale/quota_test.go
@@ -201,3 +201,31 @@
 	r := model.New(s, 1, model.Own(), false).Run()
 	require.InEpsilon(t, 1.5, r.UnitsAsked/float64(r.Requests), 0.05)
 }
+
+// The burst of a day is told to every limiter, the same each time, and discovery's lateness is all that it waits for.
+func TestABurstOfChangesReachesEveryLimiter(t *testing.T) {
+	burst, calm, firms, err := playBurst(t.Context(), 2, 5, 600, 6)
+	require.NoError(t, err)
+	again, _, _, err := playBurst(t.Context(), 2, 5, 600, 6)
+	require.NoError(t, err)
+	require.Equal(t, burst, again)
+	require.Equal(t, 60, firms)
+	require.Zero(t, calm.Changes.Told)
+	require.Zero(t, burst.Changes.Told%5, "each limiter is told the same")
+	changes, _ := worst(drawDay(2), 6)
+	require.Greater(t, float64(burst.Changes.Told)/5, 0.9*float64(changes), "only a server that is being replaced already is passed over")
+	require.LessOrEqual(t, burst.Changes.Last, model.Base().Discovery.Late[1]+0.01)
+	require.Zero(t, burst.Broken)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, _, _, err = playBurst(ctx, 2, 5, 600, 6)
+	require.ErrorIs(t, err, context.Canceled)
+}
+
+func TestTheCostOfAChangeIsMeasured(t *testing.T) {
+	mean, p99, all := changeCost(200, 300)
+	require.Positive(t, mean)
+	require.GreaterOrEqual(t, p99, mean/10)
+	require.Positive(t, all)
+	require.Greater(t, changeBytes(), 100.0)
+}
