--- a/internal/model/counter_test.go
+++ b/internal/model/counter_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/core"
+	"bramblefall/logic"
 )
 
 // crowd is more limiters than their counter bears.
@@ -85,3 +89,26 @@
 	require.Greater(t, r.Changes.P99, 1.0)
 	require.LessOrEqual(t, r.Changes.Last, 2.01)
 }
+
+// Each request of a new firm draws its units. The module's own budget bears a part of that, and without one every draw is made.
+func TestAnUnbudgetedLimiterCallsForEveryRequest(t *testing.T) {
+	s := Base()
+	s.Limiters = 60
+	w := New(s, 1, Own(), false)
+	calls := func(p Policy) (n int) {
+		d, now := p.New(w.settings(0), 1), begin
+		d.Reduce(now, core.UpstreamGroup{ServerList: logic.ServerList{Whole: true, Servers: w.list()}}, nil)
+		for k := range 200 {
+			now += time.Millisecond
+			for _, e := range d.Reduce(now, core.RequestContext{Request: logic.Request{ID: uint64(k + 1), Customer: uint64(k + 1), Plan: 2,
+				TTL: 2 * time.Second, Units: 1, Spread: 60}, Origin: nobody{}}, nil) {
+				if _, ok := e.(core.Count); ok {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	require.Less(t, calls(Own()), 120)
+	require.Equal(t, 200, calls(Unbudgeted()))
+}
