--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,6 +68,24 @@
 	sums, use, slots, tickets int64 = 0, 1, 2, 3 // what a count holds
 )
 
+func (g *Gateway) everyTick() {
+	g.do(SetTimer{tickToken, tick})
+	g.rollCustomers()
+	for _, f := range g.fleets {
+		g.watchFleet(f)
+	}
+	g.dispatch()
+	if g.now-g.second < time.Second {
+		return
+	}
+	if g.set.AskForList && !g.watching && g.now >= g.watchAt { // a lost subscription must not leave the list old
+		g.watchAt = g.now + time.Second + time.Duration(g.random()*float64(time.Second))
+		g.do(Watch{true})
+	}
+	g.second = g.now
+	maps.DeleteFunc(g.loads, func(_ uint64, w word) bool { return g.now > w.until })
+}
+
 // ---- settings in
 
 // New makes a gateway from its settings and the seed of its random choices.
@@ -97,24 +115,6 @@
 	return g
 }
 
-func (g *Gateway) everyTick() {
-	g.do(SetTimer{tickToken, tick})
-	g.rollCustomers()
-	for _, f := range g.fleets {
-		g.watchFleet(f)
-	}
-	g.dispatch()
-	if g.now-g.second < time.Second {
-		return
-	}
-	if g.set.AskForList && !g.watching && g.now >= g.watchAt { // a lost subscription must not leave the list old
-		g.watchAt = g.now + time.Second + time.Duration(g.random()*float64(time.Second))
-		g.do(Watch{true})
-	}
-	g.second = g.now
-	maps.DeleteFunc(g.loads, func(_ uint64, w word) bool { return g.now > w.until })
-}
-
 // ---- requests and answers
 
 func (g *Gateway) arrive(q Request) {
@@ -342,6 +342,26 @@
 	}
 }
 
+// bearing finds the counters of a customer's count that are called now, if so many calls are left for them, and
+// the bits of those that are not.
+func (g *Gateway) bearing(c *customer, what int64, spare float64) (to []*counter, spared uint8) {
+	bears := func(k *counter) bool { return g.now >= k.counterUp && k.callsLeft >= spare }
+	switch {
+	case !g.set.HasCounter || g.spread == nil && !bears(g.counter):
+		return nil, 0
+	case g.spread == nil:
+		return g.counters, 0
+	}
+	for n, number := range g.spread.Counters(g.now, c.name(what), c.started(what)) {
+		if k := g.at(number); bears(k) {
+			to = append(to, k)
+		} else {
+			spared |= 1 << n
+		}
+	}
+	return to, spared
+}
+
 // count calls the counter for a customer's interval, unless calls fail or are used up.
 func (g *Gateway) count(c *customer, what int64, amount float64, r *request) bool {
 	to, spared := g.bearing(c, what, 1)
@@ -354,19 +374,44 @@
 	return len(to) > 0
 }
 
-func (g *Gateway) counted(e CountResult) {
-	waiting := g.calls[e.Name]
-	if len(waiting) == 0 {
+// judge learns from a counter's answer how many calls it bears.
+func (k *counter) judge(g *Gateway, st Status, latency time.Duration) {
+	if st == Reset { // a connection that broke or brought noise says nothing of the counter
+		return
+	}
+	if st != OK { // fewer calls, none for a while to a silent or full counter; no crowd afterwards
+		if k.failed++; k.failed == 1 {
+			k.borne = k.calling
+		}
+		k.calling, k.away = max(0.8*k.calling, leastCalling), k.failed >= silence && st == ConnectFailed
+		if k.failed >= silence {
+			k.counterUp = g.now + time.Duration((0.5+g.random())*float64(k.backoff))
+			k.backoff = min(2*k.backoff, lastCall)
+			if st == Full {
+				k.backoff = min(2*k.backoff, lastFull)
+			}
+		}
 		return
 	}
-	if g.calls[e.Name] = waiting[1:]; len(waiting) == 1 {
-		delete(g.calls, e.Name)
+	if k.away { // nobody was there: that tells nothing of how many calls it bears
+		k.calling, k.away = k.borne, false
+	}
+	if g.blind > 0 && latency > g.set.CounterLimit { // a crowd: a good answer, but too many calls
+		k.calling = max(0.95*k.calling, leastCalling)
 	}
-	c, r := waiting[0].cust, waiting[0].req
+	k.backoff, k.failed, k.calling = 500*ms, 0, min(callsGrow*k.calling, 1)
+}
+
+func (g *Gateway) counted(e CountResult) {
+	made, ok := g.answered(e.Name)
+	if !ok {
+		return
+	}
+	c, r := made.cust, made.req
 	g.current(c)
 	calling := g.heard(e)
 	if e.Status != OK {
-		if waiting[0].told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
+		if made.told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
 			after := max(g.set.CounterLimit, 3*tick)
 			if e.Status == Full { // it was not, so it is told again
 				c.told, after = 0, time.Duration(g.random()*float64(lateSums)/max(calling, crowded))
@@ -378,20 +423,20 @@
 			r.draws = mostDraws // no further: by what is known here
 			g.admit(r)
 		}
-		if c.asking && waiting[0].what == tickets {
+		if c.asking && made.what == tickets {
 			c.asking, c.blind = false, g.now+lateSums
 			g.letCustomer(c)
 		}
 		return
 	}
-	switch what := waiting[0].what; {
+	switch what := made.what; {
 	case what == sums && e.Name == c.name(sums) && c.told > 0: // others are late: the part stays even
 		first := c.readAt == 0 && c.part == c.even()
 		complete := g.divide(c, e.Total)
 		if first && !complete && c.forecast > c.even() {
 			g.reread(c, max(g.set.CounterLimit, 3*tick)) // the others have told by then
 		}
-	case what == use && waiting[0].figured != c.figured: // counted under other figures: it says nothing of these
+	case what == use && made.figured != c.figured: // counted under other figures: it says nothing of these
 		if r != nil {
 			r.draws = mostDraws
 			g.admit(r)
@@ -411,10 +456,10 @@
 		}
 	case what == tickets:
 		c.asking = false
-		if waiting[0].figured == c.figured && c.ticketed { // drawn under other figures: of no use
+		if made.figured == c.figured && c.ticketed { // drawn under other figures: of no use
 			apart := g.random() * c.rush(g.now, g.units) // where a rush may begin at all gateways
 			c.stamp.read(g.now, e.Name, e.Total, c.plan, c.begun(g.now))
-			c.credit += waiting[0].units
+			c.credit += made.units
 			wait := apart + max(0, -c.stamp.level)/c.plan.Rate
 			c.due = g.now + time.Duration(wait*float64(time.Second))
 		}
@@ -730,34 +775,6 @@
 
 // ---- servers and attempts
 
-func (g *Gateway) listed(l ServerList) {
-	if g.watching = !l.Failed && !l.Cached; l.Failed {
-		return
-	}
-	f := g.group(l.Group)
-	if l.Whole {
-		for _, s := range f.list {
-			s.listed = false
-		}
-	}
-	for _, e := range l.Servers {
-		s := g.servers[e.ID]
-		if s == nil {
-			s = &server{fleet: f, backoff: firstEject, latency: g.untried(f)}
-			g.servers[e.ID] = s
-		}
-		if s.Started != e.Started { // a new process: nothing known of the old one holds
-			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, g.untried(f)
-			s.cold, s.coldAt = g.random(), g.now // not all gateways at once
-			f.met(e.Zone, OK, g.now)
-		}
-		s.Server = e
-		s.listed = e.State != Gone
-	}
-	g.enlist(f, l)
-	g.dispatch()
-}
-
 // mayWarm keeps a cold server to its part: a budget of attempts. One saved by each of many gateways is a
 // burst that it cannot take: there each request's luck thins what a warm server would get, and none is saved.
 func (g *Gateway) mayWarm(r *request, s *server, w float64, among int) bool {
--- a/logic/state.go
+++ b/logic/state.go
@@ -231,6 +231,35 @@
 	return list
 }
 
+// listed takes news of the servers.
+func (g *Gateway) listed(l ServerList) {
+	if g.watching = !l.Failed && !l.Cached; l.Failed {
+		return
+	}
+	f := g.group(l.Group)
+	if l.Whole {
+		for _, s := range f.list {
+			s.listed = false
+		}
+	}
+	for _, e := range l.Servers {
+		s := g.servers[e.ID]
+		if s == nil {
+			s = &server{fleet: f, backoff: firstEject, latency: g.untried(f)}
+			g.servers[e.ID] = s
+		}
+		if s.Started != e.Started { // a new process: nothing known of the old one holds
+			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, g.untried(f)
+			s.cold, s.coldAt = g.random(), g.now // not all gateways at once
+			f.met(e.Zone, OK, g.now)
+		}
+		s.Server = e
+		s.listed = e.State != Gone
+	}
+	g.enlist(f, l)
+	g.dispatch()
+}
+
 // enlist brings the lists of a fleet's servers up to date after some of them have changed. A list of few changes is not a
 // reason to sort all.
 func (g *Gateway) enlist(f *fleet, l ServerList) {
@@ -661,6 +690,18 @@
 	}
 }
 
+// answered takes the oldest call of a name, whose answer has come.
+func (g *Gateway) answered(name uint64) (c call, ok bool) {
+	waiting := g.calls[name]
+	if len(waiting) == 0 {
+		return c, false
+	}
+	if g.calls[name] = waiting[1:]; len(waiting) == 1 {
+		delete(g.calls, name)
+	}
+	return waiting[0], true
+}
+
 // call notes a counter call whose answer is due and makes it.
 func (g *Gateway) call(c *customer, name uint64, what int64, amount float64, r *request, spared uint8) {
 	g.calls[name] = append(g.calls[name], call{cust: c, req: r, what: what, told: amount > 0, units: amount, figured: c.figured})
