--- a/logic/logic.go
+++ b/logic/logic.go
@@ -342,8 +342,8 @@
 	}
 }
 
-// bearing finds the counters of a customer's count that are called now, if so many calls are left for them, and
-// the bits of those that are not.
+// bearing finds the counters of a customer's count that are called now, if so many calls are left for them,
+// and the bits of those that are not.
 func (g *Gateway) bearing(c *customer, what int64, spare float64) (to []*counter, spared uint8) {
 	bears := func(k *counter) bool { return g.now >= k.counterUp && k.callsLeft >= spare }
 	switch {
