--- a/internal/scale/sweeps.go
+++ b/internal/scale/sweeps.go
@@ -16,7 +16,7 @@
 	clusterSeen  = 1500 * time.Millisecond
 	clusterIdle  = time.Second
 	freshAsks    = 5 * time.Second // of a limiter started beside the longest list
-	mayBeTooLong = 1 << 20         // bytes of a line
+	mayBeTooLong = 2 << 20         // bytes of a line
 	listTooLong  = "list is too long"
 	clusterType  = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 	clusterNamed = "c-0"
