Scale rig: discovery's stand-in begins every answer with its head

Seen: at 57,000 servers limiters that had asked anew went on asking, 10 to 15 times a second each, 1.5 MB a time; their log: malformed HTTP response. Where an answer began with changes, the stand-in left its head out. Excluded: the limiter's reading (its log names the bytes), its doubt (one of eight limiters had kept its watch and had all).

--- a/internal/scale/discovery.go
+++ b/internal/scale/discovery.go
@@ -274,10 +274,8 @@
 	}
 	d.mu.Unlock()
 	m.messages.Add(1)
-	if len(out) > 64 {
-		if _, err := conn.Write(out); err != nil {
-			return
-		}
+	if _, err := conn.Write(out); err != nil {
+		return
 	}
 	gone := make(chan struct{})
 	go func() { // a watch that its limiter has left must not stay
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -20,6 +21,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"bramblefall/internal/discovery"
 	"bramblefall/internal/lab"
 )
 
@@ -341,3 +343,28 @@
 		require.Contains(t, broken[0], name)
 	}
 }
+
+// Whoever asks from a version gets what came after it, and from none the whole list, with an answer's head before either.
+func TestDiscoveryTellsWhatCameAfterAVersion(t *testing.T) {
+	d := &Discovery{ctx: t.Context()}
+	var at Places
+	require.NoError(t, d.Start(DiscoveryStart{Servers: 10, Addrs: []string{"127.0.0.1:1"}, Zones: zones}, &at))
+	var told Told
+	for range 3 { // versions 2 to 4
+		require.NoError(t, d.Change(Change{To: 2, State: "ready"}, &told))
+	}
+	require.EqualValues(t, 4, told.Version)
+	for from, want := range map[int][]discovery.List{0: {{Version: 4, Full: true}}, 1: {{Version: 4, Full: true}}, 2: {{Version: 3}, {Version: 4}}, 3: {{Version: 4}}} {
+		answer, err := http.Get(fmt.Sprintf("http://%s/registry/instances?watch=1&from=%d", at.Hollow, from))
+		require.NoError(t, err, "from %d", from)
+		in := json.NewDecoder(answer.Body)
+		for _, w := range want {
+			var l discovery.List
+			require.NoError(t, in.Decode(&l))
+			require.Equal(t, w.Version, l.Version)
+			require.Equal(t, w.Full, l.Full)
+			require.Len(t, l.Servers, map[bool]int{true: 10, false: 2}[w.Full])
+		}
+		_ = answer.Body.Close()
+	}
+}
