--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -409,6 +409,7 @@
 	reply  string        // instead of the total, if not empty
 	late   time.Duration // of each answer
 	spoil  string        // the first answer, raw; its connection is of no further use
+	gone   bool          // its connections end
 
 	mu    sync.Mutex
 	names map[string]float64
@@ -426,11 +427,14 @@
 		lines := bufio.NewScanner(conn)
 		for useless := false; lines.Scan(); {
 			c.mu.Lock()
-			spoil := c.spoil
+			spoil, late, gone := c.spoil, c.late, c.gone
 			if c.spoil = ""; useless && lines.Text() != "ping" {
 				c.lost++
 			}
 			c.mu.Unlock()
+			if gone {
+				return
+			}
 			if spoil != "" {
 				useless = true
 				_, _ = io.WriteString(conn, spoil)
@@ -438,7 +442,7 @@
 			if useless {
 				continue
 			}
-			time.Sleep(c.late)
+			time.Sleep(late)
 			if text := c.call(strings.Fields(lines.Text())); text != "" {
 				_, _ = io.WriteString(conn, text+"\r\n")
 			}
--- a/internal/capacity/eval.go
+++ b/internal/capacity/eval.go
@@ -61,6 +61,7 @@
 func merge(from []File) *figures {
 	f := &figures{slopes: map[slopeKey][]scale.Slope{}, files: map[usedSlope]string{}}
 	for _, x := range from {
+		var own []scale.QuotaError // of this file
 		if x.Version != 1 {
 			f.findings = append(f.findings, Finding{0, fmt.Sprintf("figures of version %d, where 1 is known", x.Version)})
 		}
@@ -78,7 +79,17 @@
 			f.slopes[key] = append(f.slopes[key], s)
 			f.files[keyOf(s)] = path.Base(filepath.ToSlash(x.Name))
 		}
-		f.quota = append(f.quota, x.Quota...)
+		for _, q := range x.Quota { // of one run in several files the last file's is taken
+			same := func(o scale.QuotaError) bool {
+				return o.Plan == q.Plan && o.Set == q.Set && o.Limiters == q.Limiters && o.Counters == q.Counters && o.Speed == q.Speed && o.Free == q.Free
+			}
+			if at := slices.IndexFunc(f.quota, same); at >= 0 && !slices.ContainsFunc(own, same) {
+				f.quota[at] = q
+			} else {
+				f.quota = append(f.quota, q)
+			}
+			own = append(own, q)
+		}
 		f.moments = append(f.moments, x.Moments...)
 		f.added = append(f.added, x.Added...)
 	}
@@ -352,21 +363,22 @@
 	return v, nil
 }
 
-// addedTime gives a field, in seconds, of the run with so many requests a second of each limiter, or with the most; of several
-// the largest.
+// addedTime gives a field, in seconds, of the run with so many requests a second of each limiter, or with the most, beside no
+// more than so many limiters on the machine; of several the largest.
 func (r *reviewer) addedTime(n *noted, args starlark.Tuple, named []starlark.Tuple) (float64, error) {
 	var field string
 	var control bool
 	var rate float64
+	most := math.MaxInt
 	given := starlark.Value(starlark.None)
-	if err := starlark.UnpackArgs("added", args, named, "field", &field, "control", &control, "per_second?", &given); err != nil {
+	if err := starlark.UnpackArgs("added", args, named, "field", &field, "control", &control, "per_second?", &given, "most_limiters?", &most); err != nil {
 		return 0, err
 	}
 	if v, err := float(given); err == nil {
 		rate = v
 	} else {
 		for _, a := range r.figures.added {
-			if a.Control == control {
+			if a.Control == control && a.Limiters <= most {
 				rate = max(rate, a.PerSecond)
 			}
 		}
@@ -374,7 +386,7 @@
 	largest := -1.0
 	var best scale.AddedTime
 	for _, a := range r.figures.added {
-		if a.Control != control || !near(a.PerSecond, rate) {
+		if a.Control != control || a.Limiters > most || !near(a.PerSecond, rate) {
 			continue
 		}
 		v, ok := map[string]float64{"p50_ms": a.P50 / 1000, "p99_ms": a.P99 / 1000, "straight_p99_ms": a.Straight / 1000, "per_second": a.PerSecond,
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -34,7 +34,7 @@
 }
 
 type hollow struct {
-	counts *counter.Client
+	counts *counter.Set
 
 	mu      sync.Mutex
 	addrs   map[logic.ServerID]string
@@ -99,7 +99,7 @@
 	for range a.Limiters {
 		l := &hollow{addrs: map[logic.ServerID]string{}}
 		list := discovery.New(a.Discovery, hollowSettings(a.Fleet, a.Grace), l, l.news)
-		l.counts = counter.New(a.Counter, func(ev core.Event) {
+		l.counts = counter.New(a.Counter, counter.Connections(1, 0), func(ev core.Event) {
 			if r, ok := ev.(core.CountResult); ok && r.Status == logic.OK {
 				h.answered.Add(1)
 			} else {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,6 +68,24 @@
 	sums, use, slots, tickets int64 = 0, 1, 2, 3 // what a count holds
 )
 
+func (g *Gateway) everyTick() {
+	g.do(SetTimer{tickToken, tick})
+	g.rollCustomers()
+	for _, f := range g.fleets {
+		g.watchFleet(f)
+	}
+	g.dispatch()
+	if g.now-g.second < time.Second {
+		return
+	}
+	if g.set.AskForList && !g.watching && g.now >= g.watchAt { // a lost subscription must not leave the list old
+		g.watchAt = g.now + time.Second + time.Duration(g.random()*float64(time.Second))
+		g.do(Watch{true})
+	}
+	g.second = g.now
+	maps.DeleteFunc(g.loads, func(_ uint64, w word) bool { return g.now > w.until })
+}
+
 // ---- settings in
 
 // New makes a gateway from its settings and the seed of its random choices.
@@ -85,34 +103,18 @@
 		requests: map[uint64]*request{}, tokens: map[uint32]*request{},
 		customers: map[uint64]*customer{}, servers: map[ServerID]*server{}, calls: map[uint64][]call{}, units: 1,
 		resting: map[uint64]rest{}, loads: map[uint64]word{}, logged: map[string]time.Duration{},
-		guess: guess, callsLeft: callsSaved, callsSaved: callsSaved, size: math.Pow(max(s.MostUnits, 1), 0.25),
-		calling: 1 / (1 + 2*blind), dearest: priceOf(s.Plans), backoff: 500 * ms,
+		guess: guess, callsSaved: callsSaved, size: math.Pow(max(s.MostUnits, 1), 0.25),
+		dearest: priceOf(s.Plans), among: 1,
 		turnTime: max(tick, min(turnTime, time.Duration(turnShare*float64(aim)))),
 		longest:  make([]time.Duration, len(s.Classes))}
 	if g.fleet = g.group(0); blind > 0 { // what one of few may do is too much for a counter that many call
-		g.callsLeft, g.callsSaved = callsStored/2, callsStored
+		g.callsSaved = callsStored
 	}
+	g.counter = g.untold(0)
+	g.counters = []*counter{g.counter}
 	return g
 }
 
-func (g *Gateway) everyTick() {
-	g.do(SetTimer{tickToken, tick})
-	g.rollCustomers()
-	for _, f := range g.fleets {
-		g.watchFleet(f)
-	}
-	g.dispatch()
-	if g.now-g.second < time.Second {
-		return
-	}
-	if g.set.AskForList && !g.watching && g.now >= g.watchAt { // a lost subscription must not leave the list old
-		g.watchAt = g.now + time.Second + time.Duration(g.random()*float64(time.Second))
-		g.do(Watch{true})
-	}
-	g.second = g.now
-	maps.DeleteFunc(g.loads, func(_ uint64, w word) bool { return g.now > w.until })
-}
-
 // ---- requests and answers
 
 func (g *Gateway) arrive(q Request) {
@@ -149,7 +151,9 @@
 	r.token = g.nextToken
 	g.requests[q.ID], g.tokens[r.token] = r, r
 	g.do(SetTimer{r.token, r.deadline - g.now}) // every accepted request owns a timer before its deadline
-	g.callsLeft = min(g.callsLeft+mostCalls*max(g.calling, 1-g.blind), g.callsSaved)
+	for _, k := range g.counters {              // each its share and as much again, for names fall unevenly
+		k.callsLeft = min(k.callsLeft+mostCalls*min(1, 2/float64(g.among))*max(k.calling, 1-g.blind), g.callsSaved)
+	}
 	g.units += 0.02 * (q.Units - g.units)
 	r.cust = g.customer(r)
 	r.cust.asked, r.cust.best = r.cust.asked+r.demand(g), max(r.cust.best, r.class.Worth)
@@ -338,46 +342,79 @@
 	}
 }
 
+// bearing finds the counters of a customer's count that are called now, if so many calls are left for them,
+// and the bits of those that are not.
+func (g *Gateway) bearing(c *customer, what int64, spare float64) (to []*counter, spared uint8) {
+	bears := func(k *counter) bool { return g.now >= k.counterUp && k.callsLeft >= spare }
+	switch {
+	case !g.set.HasCounter || g.spread == nil && !bears(g.counter):
+		return nil, 0
+	case g.spread == nil:
+		return g.counters, 0
+	}
+	for n, number := range g.spread.Counters(g.now, c.name(what), c.started(what)) {
+		if k := g.at(number); bears(k) {
+			to = append(to, k)
+		} else {
+			spared |= 1 << n
+		}
+	}
+	return to, spared
+}
+
 // count calls the counter for a customer's interval, unless calls fail or are used up.
 func (g *Gateway) count(c *customer, what int64, amount float64, r *request) bool {
-	if !g.set.HasCounter || g.now < g.counterUp || g.callsLeft < 1 {
-		return false
+	to, spared := g.bearing(c, what, 1)
+	for _, k := range to {
+		k.callsLeft--
 	}
-	g.callsLeft--
-	g.call(c, c.name(what), what, amount, r)
-	return true
+	if len(to) > 0 {
+		g.call(c, c.name(what), what, amount, r, spared)
+	}
+	return len(to) > 0
 }
 
-func (g *Gateway) counted(e CountResult) {
-	waiting := g.calls[e.Name]
-	if len(waiting) == 0 {
+// judge learns from a counter's answer how many calls it bears.
+func (k *counter) judge(g *Gateway, st Status, latency time.Duration) {
+	if st == Reset { // a connection that broke or brought noise says nothing of the counter
 		return
 	}
-	if g.calls[e.Name] = waiting[1:]; len(waiting) == 1 {
-		delete(g.calls, e.Name)
-	}
-	c, r := waiting[0].cust, waiting[0].req
-	g.current(c)
-	if e.Status != OK {
-		// Fewer calls to a counter in trouble, none for a while to a silent or full one; no crowd afterwards. A
-		// connection that broke or brought noise says nothing of the counter.
-		if e.Status != Reset {
-			if g.failed++; g.failed == 1 {
-				g.borne = g.calling
-			}
-			g.calling, g.away = max(0.8*g.calling, leastCalling), g.failed >= silence && e.Status == ConnectFailed
+	if st != OK { // fewer calls, none for a while to a silent or full counter; no crowd afterwards
+		if k.failed++; k.failed == 1 {
+			k.borne = k.calling
 		}
-		if g.failed >= silence && e.Status != Reset {
-			g.counterUp = g.now + time.Duration((0.5+g.random())*float64(g.backoff))
-			g.backoff = min(2*g.backoff, lastCall)
-			if e.Status == Full {
-				g.backoff = min(2*g.backoff, lastFull)
+		k.calling, k.away = max(0.8*k.calling, leastCalling), k.failed >= silence && st == ConnectFailed
+		if k.failed >= silence {
+			k.counterUp = g.now + time.Duration((0.5+g.random())*float64(k.backoff))
+			k.backoff = min(2*k.backoff, lastCall)
+			if st == Full {
+				k.backoff = min(2*k.backoff, lastFull)
 			}
 		}
-		if waiting[0].told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
+		return
+	}
+	if k.away { // nobody was there: that tells nothing of how many calls it bears
+		k.calling, k.away = k.borne, false
+	}
+	if g.blind > 0 && latency > g.set.CounterLimit { // a crowd: a good answer, but too many calls
+		k.calling = max(0.95*k.calling, leastCalling)
+	}
+	k.backoff, k.failed, k.calling = 500*ms, 0, min(callsGrow*k.calling, 1)
+}
+
+func (g *Gateway) counted(e CountResult) {
+	made, ok := g.answered(e.Name)
+	if !ok {
+		return
+	}
+	c, r := made.cust, made.req
+	g.current(c)
+	calling := g.heard(e)
+	if e.Status != OK {
+		if made.told && c.told > 0 && e.Name == c.name(sums) { // it may have been added: a read tells
 			after := max(g.set.CounterLimit, 3*tick)
 			if e.Status == Full { // it was not, so it is told again
-				c.told, after = 0, time.Duration(g.random()*float64(lateSums)/max(g.calling, crowded))
+				c.told, after = 0, time.Duration(g.random()*float64(lateSums)/max(calling, crowded))
 			}
 			g.reread(c, after)
 		}
@@ -386,27 +423,20 @@
 			r.draws = mostDraws // no further: by what is known here
 			g.admit(r)
 		}
-		if c.asking && waiting[0].what == tickets {
+		if c.asking && made.what == tickets {
 			c.asking, c.blind = false, g.now+lateSums
 			g.letCustomer(c)
 		}
 		return
 	}
-	if g.away { // nobody was there: that tells nothing of how many calls it bears
-		g.calling, g.away = g.borne, false
-	}
-	if g.blind > 0 && e.Latency > g.set.CounterLimit { // a crowd: a good answer, but too many calls
-		g.calling = max(0.95*g.calling, leastCalling)
-	}
-	g.backoff, g.failed, g.calling = 500*ms, 0, min(callsGrow*g.calling, 1)
-	switch what := waiting[0].what; {
+	switch what := made.what; {
 	case what == sums && e.Name == c.name(sums) && c.told > 0: // others are late: the part stays even
 		first := c.readAt == 0 && c.part == c.even()
 		complete := g.divide(c, e.Total)
 		if first && !complete && c.forecast > c.even() {
 			g.reread(c, max(g.set.CounterLimit, 3*tick)) // the others have told by then
 		}
-	case what == use && waiting[0].figured != c.figured: // counted under other figures: it says nothing of these
+	case what == use && made.figured != c.figured: // counted under other figures: it says nothing of these
 		if r != nil {
 			r.draws = mostDraws
 			g.admit(r)
@@ -426,10 +456,10 @@
 		}
 	case what == tickets:
 		c.asking = false
-		if waiting[0].figured == c.figured && c.ticketed { // drawn under other figures: of no use
+		if made.figured == c.figured && c.ticketed { // drawn under other figures: of no use
 			apart := g.random() * c.rush(g.now, g.units) // where a rush may begin at all gateways
 			c.stamp.read(g.now, e.Name, e.Total, c.plan, c.begun(g.now))
-			c.credit += waiting[0].units
+			c.credit += made.units
 			wait := apart + max(0, -c.stamp.level)/c.plan.Rate
 			c.due = g.now + time.Duration(wait*float64(time.Second))
 		}
@@ -489,7 +519,7 @@
 		g.later(r, c.shut-g.now)
 		return true
 	}
-	load, ask := g.load(c), r.draws < mostDraws && g.mayCall(c)
+	load, ask := g.load(c), r.draws < mostDraws && g.mayCall(c, what)
 	chance := 1 / max(load, 1)
 	if !ask && load > 0 {
 		chance = thinned / max(load, thinned)
@@ -561,13 +591,14 @@
 	if units = min(units, max(most, c.held[0].Units)) - c.credit; c.asking || units <= 0 {
 		return true
 	}
-	c.asking = g.now >= c.blind && g.mayCall(c) && g.count(c, tickets, units, nil)
+	c.asking = g.now >= c.blind && g.mayCall(c, tickets) && g.count(c, tickets, units, nil)
 	return c.asking
 }
 
 // mayCall keeps the last calls for the dearest plans.
-func (g *Gateway) mayCall(c *customer) bool {
-	return g.set.HasCounter && g.now >= g.counterUp && g.callsLeft >= 1+dearest*(1-c.plan.Price/g.dearest)
+func (g *Gateway) mayCall(c *customer, what int64) bool {
+	to, _ := g.bearing(c, what, 1+dearest*(1-c.plan.Price/g.dearest))
+	return len(to) > 0
 }
 
 // ---- pacing and caps
@@ -744,34 +775,6 @@
 
 // ---- servers and attempts
 
-func (g *Gateway) listed(l ServerList) {
-	if g.watching = !l.Failed && !l.Cached; l.Failed {
-		return
-	}
-	f := g.group(l.Group)
-	if l.Whole {
-		for _, s := range f.list {
-			s.listed = false
-		}
-	}
-	for _, e := range l.Servers {
-		s := g.servers[e.ID]
-		if s == nil {
-			s = &server{fleet: f, backoff: firstEject, latency: g.untried(f)}
-			g.servers[e.ID] = s
-		}
-		if s.Started != e.Started { // a new process: nothing known of the old one holds
-			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, g.untried(f)
-			s.cold, s.coldAt = g.random(), g.now // not all gateways at once
-			f.met(e.Zone, OK, g.now)
-		}
-		s.Server = e
-		s.listed = e.State != Gone
-	}
-	g.enlist(f, l)
-	g.dispatch()
-}
-
 // mayWarm keeps a cold server to its part: a budget of attempts. One saved by each of many gateways is a
 // burst that it cannot take: there each request's luck thins what a warm server would get, and none is saved.
 func (g *Gateway) mayWarm(r *request, s *server, w float64, among int) bool {
