--- a/cmd/bramblefall/idle_test.go
+++ b/cmd/bramblefall/idle_test.go
@@ -146,7 +146,11 @@
 					require.Less(t, time.Since(since), patience, "the new list")
 				}
 				require.Eventually(t, func() bool { return calls.Load() > 0 }, patience, 10*time.Millisecond, "the counter")
-				require.Eventually(t, full, patience, time.Millisecond, "the idle clients are still there")
+				if word == "after half a command" { // these come again and again: room is made for some in this very moment
+					require.Eventually(t, full, patience, time.Millisecond, "the idle clients are still there")
+				} else {
+					assert.True(t, full(), "the idle clients are still there")
+				}
 				assert.LessOrEqual(t, l.descriptors(), 128)
 				assert.NotContains(t, l.log.String(), "too many open files")
 			})
