--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -35,6 +35,9 @@
 var binary string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(filterVariable) != "" {
+		panic(becomeFiltered())
+	}
 	dir, err := os.MkdirTemp("", "bramblefall")
 	if err != nil {
 		panic(err)
@@ -128,6 +131,7 @@
 	sockets  int    // 0: 128
 	limited  bool   // the kernel holds the process to its sockets, too
 	cores    float64
+	fails    failing // system calls of the process that fail; nil: none
 }
 
 // config is the file that tells a limiter of its world.
@@ -173,6 +177,9 @@
 	if w.registry != nil { // as on the platform, where the environment keeps the first address
 		l.cmd.Env = append(os.Environ(), "RELAY_DISCOVERY="+w.registry.addr)
 	}
+	if w.fails != nil {
+		filter(t, l.cmd, w.fails)
+	}
 	out, err := l.cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, l.cmd.Start())
--- /dev/null
+++ b/cmd/bramblefall/syscalls_test.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// System calls of the real program that fail as Linux documents. The kernel asks the test about each call of some kinds
+// (seccomp's user notification, which takes no privilege) and the test lets it pass or names an error.
+
+// failing says which calls fail: number is the call's, nth counts those on its first argument from 1. 0 lets it pass.
+type failing func(number int32, argument uint64, nth int) syscall.Errno
+
+const (
+	filterVariable = "BRAMBLEFALL_TEST_FILTER" // set where this binary is to filter itself and become the program
+	filterPipe     = 3                         // the descriptor on which it hands over the kernel's questions
+
+	notifyReceive  = 0xc0502100 // SECCOMP_IOCTL_NOTIF_RECV
+	notifySend     = 0xc0182101 // SECCOMP_IOCTL_NOTIF_SEND
+	notifyContinue = 1          // SECCOMP_USER_NOTIF_FLAG_CONTINUE
+	waitKillable   = 1 << 5     // SECCOMP_FILTER_FLAG_WAIT_KILLABLE_RECV
+)
+
+var filtered = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC}
+
+type notification struct {
+	ID    uint64
+	PID   uint32
+	Flags uint32
+	Nr    int32
+	Arch  uint32
+	IP    uint64
+	Args  [6]uint64
+}
+
+type notificationAnswer struct {
+	ID    uint64
+	Value int64
+	Error int32
+	Flags uint32
+}
+
+// becomeFiltered installs the filter, hands its descriptor over and becomes the program that the arguments name.
+func becomeFiltered() error {
+	runtime.LockOSThread()
+	program := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS}}
+	for k, number := range filtered {
+		program = append(program, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: uint8(len(filtered) - k), K: number})
+	}
+	program = append(program, unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: unix.SECCOMP_RET_ALLOW},
+		unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: unix.SECCOMP_RET_USER_NOTIF})
+	filter := unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]}
+	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
+		return err
+	}
+	fd, _, errno := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER,
+		unix.SECCOMP_FILTER_FLAG_NEW_LISTENER|waitKillable, uintptr(unsafe.Pointer(&filter)))
+	if errno != 0 {
+		return errno
+	}
+	if err := unix.Sendmsg(filterPipe, []byte{0}, unix.UnixRights(int(fd)), nil, 0); err != nil {
+		return err
+	}
+	_, _ = unix.Close(filterPipe), unix.Close(int(fd))
+	return syscall.Exec(os.Args[1], os.Args[1:], os.Environ())
+}
+
+// filter makes a command's process one whose calls are asked about, until the test ends.
+func filter(t *testing.T, cmd *exec.Cmd, fails failing) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	ours, theirs := os.NewFile(uintptr(pair[0]), "ours"), os.NewFile(uintptr(pair[1]), "theirs")
+	cmd.Args = append([]string{os.Args[0], cmd.Path}, cmd.Args[1:]...)
+	cmd.Path, cmd.ExtraFiles = os.Args[0], []*os.File{theirs}
+	if cmd.Env == nil {
+		cmd.Env = os.Environ()
+	}
+	cmd.Env = append(cmd.Env, filterVariable+"=1")
+	t.Cleanup(func() { _ = ours.Close() })
+	go func() {
+		rights := make([]byte, unix.CmsgSpace(4))
+		_, n, _, _, err := unix.Recvmsg(pair[0], make([]byte, 1), rights, unix.MSG_CMSG_CLOEXEC)
+		_ = theirs.Close()
+		if err != nil {
+			return
+		}
+		messages, err := unix.ParseSocketControlMessage(rights[:n])
+		if err != nil || len(messages) == 0 {
+			return
+		}
+		fds, err := unix.ParseUnixRights(&messages[0])
+		if err == nil {
+			answerNotifications(fds[0], fails)
+		}
+	}()
+}
+
+// answerNotifications decides about each call until the process is over.
+func answerNotifications(fd int, fails failing) {
+	defer unix.Close(fd)
+	type site struct {
+		number   int32
+		argument uint64
+	}
+	times := map[site]int{}
+	for {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		if _, err := unix.Poll(polled, -1); err != nil && !errors.Is(err, unix.EINTR) || polled[0].Revents&unix.POLLHUP != 0 {
+			return
+		}
+		var n notification
+		if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), notifyReceive, uintptr(unsafe.Pointer(&n))); errno != 0 {
+			continue // the call was interrupted, and comes again
+		}
+		at := site{n.Nr, n.Args[0]}
+		a := notificationAnswer{ID: n.ID, Flags: notifyContinue}
+		if errno := fails(n.Nr, n.Args[0], times[at]+1); errno != 0 {
+			a.Flags, a.Error = 0, -int32(errno)
+		}
+		if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(fd), notifySend, uintptr(unsafe.Pointer(&a))); errno == 0 {
+			times[at]++
+		}
+	}
+}
+
+// Errors that accept(2) hands out for a moment: of the process or the system, and of the connection that is taken.
+var acceptErrors = []syscall.Errno{syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH}
+
+// An accept that fails, once or several times in a row, ends no listener: neither that of clients, nor of gRPC callers, nor of
+// operators. Who waits meanwhile is answered soon.
+func TestAcceptErrorsEndNoListener(t *testing.T) {
+	t.Parallel()
+	for _, errno := range acceptErrors {
+		for _, inARow := range []int{1, 5} {
+			t.Run(fmt.Sprintf("%s/%d", unix.ErrnoName(errno), inARow), func(t *testing.T) {
+				t.Parallel()
+				dir := t.TempDir()
+				socket := dir + "/admin.sock"
+				w := world{second: second(t), servers: []*server{newServer(t, "s-1", "hall-a", value("v"))},
+					operator: script(t, dir+"/operator.star", fmt.Sprintf("bramblefall(admin = admin(socket = %q))\n", socket)),
+					fails: func(number int32, _ uint64, nth int) syscall.Errno {
+						if number == unix.SYS_ACCEPT4 && nth <= inARow {
+							return errno
+						}
+						return 0
+					}}
+				l := start(t, w)
+				began := time.Now()
+				assert.Equal(t, "v", l.dial().do(ask("01")...))
+				assert.Less(t, time.Since(began), time.Second)
+				answer, err := l.service().ShouldRateLimit(inTime(t), call(of("1")))
+				require.NoError(t, err)
+				assert.Equal(t, within, answer.GetOverallCode())
+				cli(t, 0, "plans", "list", "--socket", socket)
+				assert.Equal(t, "v", l.dial().do(ask("02")...))
+			})
+		}
+	}
+}
+
+// A socket or connect that fails for a moment for want of something on this machine keeps no request from its server, and
+// blames none.
+func TestConnectErrorsBlameNoServer(t *testing.T) {
+	t.Parallel()
+	for name, where := range map[string]struct {
+		number int32
+		errno  syscall.Errno
+	}{
+		"connect EADDRNOTAVAIL": {unix.SYS_CONNECT, syscall.EADDRNOTAVAIL},
+		"connect ENETUNREACH":   {unix.SYS_CONNECT, syscall.ENETUNREACH},
+		"connect ENOBUFS":       {unix.SYS_CONNECT, syscall.ENOBUFS},
+		"connect EAGAIN":        {unix.SYS_CONNECT, syscall.EAGAIN},
+		"socket ENOBUFS":        {unix.SYS_SOCKET, syscall.ENOBUFS},
+		"socket ENOMEM":         {unix.SYS_SOCKET, syscall.ENOMEM},
+		"socket ENFILE":         {unix.SYS_SOCKET, syscall.ENFILE},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			left := 0
+			w := world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, fails: func(number int32, _ uint64, _ int) syscall.Errno {
+				mu.Lock()
+				defer mu.Unlock()
+				if number != where.number || left == 0 {
+					return 0
+				}
+				left--
+				return where.errno
+			}}
+			w.settings = settings()
+			w.settings["balancers"] = 300 // one failure leaves a server out there
+			l := start(t, w)
+			for round := range 3 {
+				mu.Lock()
+				left = 2
+				mu.Unlock()
+				post := post(fmt.Sprintf("0%d", round))
+				post[3] = strings.Replace(post[3], "spread=1", "spread=2", 1)
+				assert.Equal(t, "v", l.dial().do(post...), "round %d", round)
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.NotContains(t, l.log.String(), "left out")
+		})
+	}
+}
+
+// A process whose first system calls fail for a moment starts all the same.
+func TestSocketErrorsAtTheStartAreBorne(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENFILE, syscall.ENOMEM} {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			sockets := 0
+			dir := t.TempDir()
+			l := start(t, world{second: second(t), servers: []*server{newServer(t, "s-1", "hall-a", value("v"))},
+				operator: script(t, dir+"/operator.star", fmt.Sprintf("bramblefall(admin = admin(socket = %q))\n", dir+"/admin.sock")),
+				fails: func(number int32, _ uint64, _ int) syscall.Errno {
+					mu.Lock()
+					defer mu.Unlock()
+					if number != unix.SYS_SOCKET {
+						return 0
+					}
+					if sockets++; sockets%3 == 0 { // every third comes about
+						return 0
+					}
+					return errno
+				}})
+			assert.Equal(t, "v", l.dial().do(ask("01")...))
+		})
+	}
+}
