Accepts and dials go on after errors of a moment; shortages here blame no server

Excluded: the kernel's listeners themselves, which stay open (a second accept works). At fault: grpc-go's Serve ends on an accept error that is not Temporary() (ENOBUFS, ENOMEM and TCP's own are not); netpoll's OnRead takes the listener off its watch on EMFILE and ENFILE and sleeps up to 1 s between tries; internal/upstream dial() told EADDRNOTAVAIL, ENOBUFS, ENOMEM and EAGAIN as a server that cannot be reached; ListenTCP's first error ended the start. Discovery's dial is made again, too.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -21,6 +21,7 @@
 	"bramblefall/internal/core"
 	"bramblefall/internal/lastwords"
 	"bramblefall/internal/plans"
+	"bramblefall/internal/socket"
 )
 
 const (
@@ -74,7 +75,7 @@
 	// Made under another name with its mode set, then moved: nobody else may connect in between.
 	made := filepath.Join(filepath.Dir(path), fmt.Sprintf(".%s.%d", filepath.Base(path), os.Getpid()))
 	before := syscall.Umask(0o177)
-	l, err := net.Listen("unix", made)
+	l, err := socket.RetryListen(func() (net.Listener, error) { return net.Listen("unix", made) })
 	syscall.Umask(before)
 	if err != nil {
 		return fmt.Errorf("admin socket: %w", err)
@@ -85,7 +86,7 @@
 		return fmt.Errorf("admin socket: %w", err)
 	}
 	lastwords.Go(func() {
-		_ = s.server.Serve(l)
+		_ = s.server.Serve(socket.Steady(l))
 		_ = os.Remove(path)
 	})
 	return nil
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramblefall/internal/lastwords"
+	"bramblefall/internal/socket"
 )
 
 // word is what a watch has to say.
@@ -222,7 +223,9 @@
 
 func (p *pulse) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	// The standard library's connections: net/http closes one while it reads from it, which netpoll's do not bear.
-	conn, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, network, addr)
+	conn, err := socket.RetryDial(ctx, func() (net.Conn, error) {
+		return (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, network, addr)
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -26,6 +26,7 @@
 	"bramblefall/internal/core"
 	"bramblefall/internal/lastwords"
 	"bramblefall/internal/plans"
+	"bramblefall/internal/socket"
 	"bramblefall/logic"
 )
 
@@ -90,11 +91,11 @@
 
 // Listen opens the address and serves it until Drain. It returns where it listens.
 func (f *Front) Listen(addr string) (net.Addr, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := socket.RetryListen(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 	if err != nil {
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
-	lastwords.Go(func() { _ = f.server.Serve(netutil.LimitListener(l, f.most)) })
+	lastwords.Go(func() { _ = f.server.Serve(netutil.LimitListener(socket.Steady(l), f.most)) })
 	return l.Addr(), nil
 }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -49,7 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *at})
+	raw, err := RetryDial(ctx, func() (*netpoll.TCPConnection, error) {
+		return netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *at})
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -17,6 +17,7 @@
 	raw      syscall.RawConn
 	fd       int
 	accepted atomic.Int64
+	errors   acceptErrors
 	room     func() bool
 }
 
@@ -31,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, err := net.ListenTCP("tcp", at)
+	tcp, err := RetryListen(func() (*net.TCPListener, error) { return net.ListenTCP("tcp", at) })
 	if err != nil {
 		return nil, err
 	}
@@ -53,8 +54,9 @@
 // be another connection's by then. The kernel has taken the listener off with the close.
 var errOver = errors.New("the listener is over")
 
-// Accept takes a connection that has come, and gives nil where there is none. After a close it fails: given nil, netpoll
-// would watch the number again if it was short of descriptors when the listener was closed.
+// Accept takes a connection that has come, and gives nil where there is none or where that fails: the poller asks again at once.
+// Guards against netpoll's own pauses of up to a second, in which nobody is let in. After a close it fails: given nil, netpoll
+// would go on watching the number.
 func (l *Listener) Accept() (net.Conn, error) {
 	var fd int
 	var peer syscall.Sockaddr
@@ -72,7 +74,8 @@
 	case syscall.EAGAIN, syscall.EINTR:
 		return nil, nil
 	default:
-		return nil, err
+		l.errors.pause(err)
+		return nil, nil
 	}
 	if l.room != nil && !l.room() {
 		l.accepted.Add(-1)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,10 +5,8 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"log/slog"
 	"sync"
-	"syscall"
 	"time"
 
 	"bramblefall/internal/core"
@@ -256,7 +254,7 @@
 	lastwords.Go(func() { p.dial(f) })
 }
 
-// short ends a flight for which no descriptor is left. The server is not to blame.
+// short ends a flight for which no descriptor, port or buffer is left. The server is not to blame.
 func (p *Pool) short(f *flight, err error) {
 	if time.Since(p.told) >= logEvery {
 		p.told = time.Now()
@@ -285,7 +283,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if socket.Shortage(err) {
 			p.short(f, err)
 		} else {
 			p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
