Nothing taken is cut off; the told deadline is what is left; pieces of commands are no stop

Excluded: a server's or the counter's part (the stand-ins hold or answer at once). At fault: Pool.Try worded a command before its dial; core took a request's time from the step that read the inbox; ready() noted the beginning of half a command only where none stood before; refuse() ended a connection at 64 errors and place() closed it past 9,216 commands over whole ones; Outbox.Write closed it at 256 KiB. Change: the command is worded in write(); RequestContext.At; each command has its own wait; after 64 errors commands are refused and the connection ends once nothing is owed; past 9,216 it ends behind what is due; a value for which there is no room (256 KiB each, an eighth of the memory for all) becomes -ERR failed; a flush is 64 KiB, each with its 5 s. The front's own -BUSY keeps the settings' longest time. TestAClientThatNeverReadsStallsNobody looked at the end of the connection by reading 4 KiB at a time, which now takes over 20 s, since all that the kernel holds is still delivered; it looks at the limiter's side instead: the connection must be given up while nobody reads.

--- a/cmd/bramblefall/platform_test.go
+++ b/cmd/bramblefall/platform_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -295,6 +294,17 @@
 }
 
 // A client that writes and never reads loses its connection; everybody else is served meanwhile.
+// clientConnections counts the established connections at the limiter's address.
+func (l *limiter) clientConnections() int {
+	_, port, err := net.SplitHostPort(l.addr)
+	require.NoError(l.t, err)
+	n, err := strconv.Atoi(port)
+	require.NoError(l.t, err)
+	table, err := os.ReadFile("/proc/net/tcp")
+	require.NoError(l.t, err)
+	return len(regexp.MustCompile(fmt.Sprintf(`: 0100007F:%04X [0-9A-F]{8}:[0-9A-F]{4} 01 `, n)).FindAll(table, -1))
+}
+
 func TestAClientThatNeverReadsStallsNobody(t *testing.T) {
 	t.Parallel()
 	large := strings.Repeat("p", 64<<10)
@@ -310,8 +320,9 @@
 		}
 	}
 	require.Equal(t, large, other.do(ask("ffffffff")...))
-	_, err := io.Copy(io.Discard, deaf.conn)
-	assert.False(t, os.IsTimeout(err), "the connection is given up, not kept with all that waits for it")
+	with := l.clientConnections()
+	assert.Eventually(t, func() bool { return l.clientConnections() < with }, patience, 10*time.Millisecond,
+		"the connection is given up, not kept with all that waits for it")
 }
 
 // What a server never answers is answered before the platform kills the program, not lost.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -33,6 +33,7 @@
 type RequestContext struct {
 	logic.Request
 	Origin Origin
+	At     time.Duration // when its TTL began, by the reducer's clock; 0: now
 }
 
 // Outcome ends a try (event). There is exactly one for each Try effect.
@@ -68,6 +69,7 @@
 	Group  int
 	Server logic.ServerID
 	Wait   time.Duration
+	Ends   time.Duration // when Wait is over
 	Until  time.Duration // no byte of it may leave from then on: the try's time is over, or the window for its repeat
 	Origin Origin
 }
@@ -199,6 +201,9 @@
 			r.do(Reject{e.Origin, Elsewhere(r.set)})
 			break
 		}
+		if e.At > 0 { // guards against a time that begins anew where the inbox was long
+			e.TTL -= max(0, r.now-e.At)
+		}
 		r.requests[e.ID] = &requestContext{origin: e.Origin, group: e.Group, deadline: r.now + e.TTL}
 		r.tally.count(r.book.Current().Number)
 		r.tell(e.Request)
@@ -324,7 +329,7 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
-	r.do(Try{Key{a.ID, n}, q.group, a.Server, wait, until, q.origin})
+	r.do(Try{Key: Key{a.ID, n}, Group: q.group, Server: a.Server, Wait: wait, Ends: r.now + wait, Until: until, Origin: q.origin})
 	r.do(SetTimer{r.now + wait, Timer{tryTimer, Key{a.ID, n}}})
 }
 
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -166,7 +166,7 @@
 	c.waiting = nil
 	c.dialed = time.Time{} // it is there: if this connection breaks, the next is made at once
 	slog.Info("connected to the counter", "addr", addr)
-	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn, nil), wrote: time.Now()}
+	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn, nil, nil), wrote: time.Now()}
 	c.replace(l)
 	conn.Serve(l.onRequest, l.closed)
 	for _, e := range waiting {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -86,6 +86,10 @@
 // Post hands in an event. The inbox holds at most a few for each request context, try and call in hand, and
 // those are bounded by the fronts.
 func (l *Loop) Post(ev core.Event) {
+	if q, ok := ev.(core.RequestContext); ok {
+		q.At = Now()
+		ev = q
+	}
 	l.mu.Lock()
 	l.inbox = append(l.inbox, ev)
 	first := len(l.inbox) == 1
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -38,7 +39,7 @@
 	mostID      = 64       // bytes of a request's id
 	firms       = 1 << 33  // customers are numbers below this
 
-	tooBusy = "-BUSY 1000\r\n"
+	failure = "-ERR failed\r\n"
 
 	answerWork = 2 * time.Millisecond // of processor time before an answer goes out: a collection of garbage takes so much
 
@@ -46,6 +47,7 @@
 	firstWord  = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
 	longIdle   = 20 * time.Second        // between commands
 
+	crowded      = time.Second // when to come back where too much is in hand
 	aboutToSpeak = time.Second
 	halfWait     = 100 * time.Millisecond // for the rest of a command, where others have no room
 	lastWord     = 2 * time.Second        // for what waits before the end of a connection that cannot be read
@@ -68,6 +70,8 @@
 	open    int           // request contexts
 	bytes   int64         // of their commands
 	lag     time.Duration // that an answer may be late by, on this share of a core
+	tooBusy []byte        // the answer to what is turned away here
+	backlog *socket.Backlog
 
 	listener *socket.Listener
 	leaving  atomic.Bool  // a connection closes as soon as nothing is owed on it
@@ -98,6 +102,11 @@
 	if bytes > 0 {
 		f.bytes = min(bytes, defaultHeld)
 	}
+	f.backlog = socket.NewBacklog(f.bytes)
+	f.tooBusy = appendBusy(nil, 0)
+	if set.RetryAfter {
+		f.tooBusy = appendBusy(nil, min(crowded, set.MaxRetryAfter))
+	}
 	for k, c := range set.Classes {
 		f.classes[c.Name] = k
 	}
@@ -184,7 +193,7 @@
 	defer lastwords.Guard()
 	now, conn := time.Now(), socket.Wrap(raw)
 	c := &clientConnection{front: f, number: f.numbers.Add(1), conn: conn, usedAt: now}
-	c.out = socket.NewOutbox(conn, c.leave)
+	c.out = socket.NewOutbox(conn, c.leave, f.backlog)
 	c.trace("client connection accepted")
 	f.mu.Lock()
 	full := len(f.clients) >= f.most
@@ -264,6 +273,7 @@
 	reading bool                // bytes are taken and not handled yet
 	spoke   bool                // a whole one has come
 	errors  int
+	turned  atomic.Bool // it has sent too many errors: what it sends is refused, and it ends once nothing is owed on it
 	usedAt  time.Time
 	partAt  time.Time // since when a command has come in part
 	deafAt  time.Time // since when nothing more is read
@@ -291,10 +301,11 @@
 		_ = c.conn.TakeSome(func(b []byte) { c.conn.Say(c.late(b)) })
 		return
 	}
-	c.read(ending, now)
+	handled := c.read(ending, now)
 	c.mu.Lock()
 	c.reading = false
-	if partial := c.parser.Buffered() > 0; partial != c.partial {
+	// Each command has its own wait: a client may send without a pause in pieces that end in the middle of one.
+	if partial := c.parser.Buffered() > 0; partial != c.partial || handled > 0 {
 		c.partial, c.partAt = partial, now
 	}
 	c.mu.Unlock()
@@ -323,9 +334,9 @@
 	}
 }
 
-// read takes the bytes that have come and handles the commands that are whole. When the connection is ending it only
-// makes room for more.
-func (c *clientConnection) read(ending bool, now time.Time) {
+// read takes the bytes that have come, handles the commands that are whole and counts them. When the connection is ending it
+// only makes room for more.
+func (c *clientConnection) read(ending bool, now time.Time) (handled int) {
 	err := c.conn.TakeSome(func(b []byte) {
 		if !ending {
 			c.parser.Feed(b)
@@ -335,13 +346,15 @@
 		args, ok, err := c.parser.Command()
 		if err != nil {
 			c.refuse(err.Error(), true)
-			return
+			return handled
 		}
 		if !ok {
-			return
+			return handled
 		}
+		handled++
 		ending = c.command(args, now)
 	}
+	return handled
 }
 
 // command handles one command. It tells whether the connection ends with it.
@@ -349,6 +362,9 @@
 	if len(args) == 0 {
 		return false // as servers of this protocol do, an empty array is passed over
 	}
+	if c.turned.Load() {
+		return c.reply(appendBusy(nil, core.Elsewhere(c.front.set)), false)
+	}
 	switch name := string(bytes.ToUpper(args[0])); name {
 	case "Q.ASK", "Q.DO":
 		return c.take(name, args, now)
@@ -367,14 +383,16 @@
 func (c *clientConnection) refuse(why string, last bool) bool {
 	c.mu.Lock()
 	c.errors++
-	last = last || c.errors >= mostErrors
+	if c.errors >= mostErrors {
+		c.turned.Store(true)
+	}
 	c.mu.Unlock()
 	return c.reply([]byte("-ERR "+why+"\r\n"), last)
 }
 
 // place adds the slot of a command's answer. Nil if the client waits for too many: a client that only writes must not fill
 // the memory, and those that were taken before must not be lost. The command is refused behind them; over tells that the
-// client sends on all the same, and is cut off.
+// client sends on all the same: nothing more is read, and the connection ends behind the answers that are due.
 func (c *clientConnection) place() (s *slot, over bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -386,8 +404,8 @@
 	}
 	last := c.slots[len(c.slots)-1]
 	if last.refused++; last.refused > mostRefused {
-		c.ending = true
-		lastwords.Go(c.conn.Close)
+		last.last = true
+		c.ending, c.deafAt = true, time.Now()
 		return nil, true
 	}
 	return nil, false
@@ -418,12 +436,8 @@
 		if c.slots = c.slots[1:]; c.gone {
 			continue
 		}
-		for range s.refused {
-			s.answer = append(s.answer, tooBusy...)
-		}
-		if c.out.Write(s.answer) != nil {
-			continue
-		}
+		c.write(s.answer)
+		c.out.Insist(bytes.Repeat(c.front.tooBusy, s.refused))
 		if s.last {
 			c.out.CloseAfter()
 		}
@@ -431,6 +445,13 @@
 	c.usedAt = time.Now()
 }
 
+// write queues an answer. Where its client does not read, and no more of a value may wait for it, the request has failed.
+func (c *clientConnection) write(answer []byte) {
+	if errors.Is(c.out.Write(answer), socket.ErrFull) {
+		c.out.Insist([]byte(failure))
+	}
+}
+
 func (c *clientConnection) idle() idleness {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -455,6 +476,10 @@
 
 // leave closes the connection at a planned restart if nothing is owed on it. One that has just come is about to speak.
 func (c *clientConnection) leave() {
+	if c.turned.Load() {
+		c.closeIdle(false)
+		return
+	}
 	if !c.front.leaving.Load() {
 		return
 	}
@@ -528,7 +553,7 @@
 		return c.refuse(err.Error(), false)
 	}
 	if c.front.owner.Open() >= c.front.open || c.front.held.Load() >= c.front.bytes { // guards the memory in a flood; the module sees none of it
-		return c.reply([]byte(tooBusy), false)
+		return c.reply(c.front.tooBusy, false)
 	}
 	if !c.front.hold(r) {
 		return c.refuse("a request with this id is open", false)
@@ -704,4 +729,4 @@
 }
 
 // Failed implements core.Origin.
-func (r *request) Failed() { r.finish([]byte("-ERR failed\r\n")) }
+func (r *request) Failed() { r.finish([]byte(failure)) }
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -3,15 +3,19 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramblefall/internal/lastwords"
 )
 
-// Most is how many bytes may wait for one peer. More means that it has stopped reading.
+// Most is how many bytes may wait for one peer where all peers' share is used up. Who is to get more has to be told less.
 const Most = 256 << 10
 
-const writeLimit = 5 * time.Second // a flush that takes longer has no reader
+const (
+	writeLimit = 5 * time.Second // a flush that takes longer has no reader
+	mostFlush  = 64 << 10        // bytes of one: a slow reader has the limit for each
+)
 
 // ErrFull says that the peer does not read.
 var ErrFull = errors.New("the peer does not read")
@@ -24,6 +28,7 @@
 type Outbox struct {
 	conn    *Conn
 	emptied func() // nil, or told when all that was queued has been written
+	shared  *Backlog
 
 	mu       sync.Mutex
 	waiting  []byte
@@ -32,27 +37,52 @@
 	broken   bool
 }
 
-// NewOutbox makes the outbox of a connection. Emptied, if any, is told whenever all that was queued has been written.
-func NewOutbox(conn *Conn, emptied func()) *Outbox {
+// Backlog bounds what waits in several outboxes together.
+type Backlog struct {
+	most  int64
+	bytes atomic.Int64
+}
+
+// NewBacklog makes the bound of outboxes that may hold so many bytes together, and Most each beside.
+func NewBacklog(most int64) *Backlog { return &Backlog{most: most} }
+
+// NewOutbox makes the outbox of a connection. Emptied, if any, is told whenever all that was queued has been written. Shared is
+// the bound with others; nil: Most is all that it holds.
+func NewOutbox(conn *Conn, emptied func(), shared *Backlog) *Outbox {
 	conn.WriteLimit(writeLimit)
-	return &Outbox{conn: conn, emptied: emptied}
+	if shared == nil {
+		shared = NewBacklog(0)
+	}
+	return &Outbox{conn: conn, emptied: emptied, shared: shared}
 }
 
-// Write queues bytes; they are copied.
+// Write queues bytes; they are copied. ErrFull says that they were too many, and changes nothing.
 func (o *Outbox) Write(b []byte) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.broken {
 		return ErrClosed
 	}
-	if len(o.waiting)+len(b) > Most {
-		o.broken = true
-		lastwords.Go(o.conn.Close)
+	if len(o.waiting)+len(b) > Most && o.shared.bytes.Load()+int64(len(b)) > o.shared.most {
 		return ErrFull
 	}
+	o.add(b)
+	return nil
+}
+
+// Insist queues a few bytes, however many wait. The caller bounds them.
+func (o *Outbox) Insist(b []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.broken && len(b) > 0 {
+		o.add(b)
+	}
+}
+
+func (o *Outbox) add(b []byte) {
 	o.waiting = append(o.waiting, b...)
+	o.shared.bytes.Add(int64(len(b)))
 	o.start()
-	return nil
 }
 
 // Empty tells whether all that was queued has been written.
@@ -70,6 +100,14 @@
 	o.start()
 }
 
+// forget takes off what has been written, or will not be.
+func (o *Outbox) forget(n int) {
+	o.shared.bytes.Add(-int64(n))
+	if o.waiting = o.waiting[n:]; len(o.waiting) == 0 {
+		o.waiting = nil
+	}
+}
+
 func (o *Outbox) start() {
 	if !o.flushing {
 		o.flushing = true
@@ -88,16 +126,17 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for len(o.waiting) > 0 && !o.broken {
-		b := o.waiting
-		o.waiting = nil
+		b := o.waiting[:min(len(o.waiting), mostFlush)]
 		o.mu.Unlock()
 		err := o.conn.Write(b)
 		o.mu.Lock()
+		o.forget(len(b))
 		o.broken = o.broken || err != nil
 	}
 	o.flushing = false
 	if o.broken || o.closing {
 		o.broken = true
+		o.forget(len(o.waiting))
 		lastwords.Go(o.conn.Close) // in its own goroutine: close callbacks take their owners' locks
 	}
 	return !o.broken
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -72,7 +72,7 @@
 	try    core.Key
 	origin Command
 	target *target
-	bytes  []byte
+	ends   time.Duration // of the wait: what is left of it is told to the server
 	until  time.Duration // no byte may leave from then on
 	state  state
 	on     *connection // that carries it
@@ -169,7 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	origin := t.Origin.(Command)
-	f := &flight{try: t.Key, origin: origin, bytes: origin.AppendCommand(nil, t.Wait), until: t.Until, target: p.targets[t.Server]}
+	f := &flight{try: t.Key, origin: origin, ends: t.Ends, until: t.Until, target: p.targets[t.Server]}
 	p.tries[t.Key] = f
 	p.start(f)
 }
@@ -322,16 +322,19 @@
 
 // write sends a flight's bytes, which are due. An idle connection's send buffer is empty, since the server has answered all
 // that was in it, so a small flush never waits; a larger one has a goroutine of its own.
+//
+// The command is worded here: a connection that came up late has taken from the time that is told to the server.
 func (p *Pool) write(c *connection, f *flight) {
 	c.flight, f.state = f, flushing
 	f.on = c
-	if len(f.bytes) <= smallFlush {
-		p.flushed(c, f, c.conn.Write(f.bytes))
+	text := f.origin.AppendCommand(nil, f.ends-p.now())
+	if len(text) <= smallFlush {
+		p.flushed(c, f, c.conn.Write(text))
 		return
 	}
 	c.conn.WriteLimit(min(writeLimit, max(f.until-p.now(), time.Millisecond)))
 	lastwords.Go(func() {
-		err := c.conn.Write(f.bytes)
+		err := c.conn.Write(text)
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.flushed(c, f, err)
@@ -340,7 +343,6 @@
 
 // flushed learns whether the last byte has left. Only then may the request have run.
 func (p *Pool) flushed(c *connection, f *flight, err error) {
-	f.bytes = nil
 	if err != nil {
 		o := core.Outcome{Status: logic.ConnectFailed}
 		if socket.MayBeWritten(err) {
