Tests of steps of the wall clock and of a disk that fails, red

How: testdata/wallclock.c moves the wall clock of the limiter's process alone (its own copy of the vDSO), the monotonic one stays. Excluded: the harness, since a library with offset 0 changes nothing (the phase before the step serves as usual).

--- /dev/null
+++ b/cmd/bramblefall/disk_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// A lasting folder that fails for a while: what came into force meanwhile is on the disk once it works again, with no further
+// change, and a kill then loses nothing. Of a kill in the middle of a write nothing is left lying.
+func TestPlansAreKeptOnceTheDiskWorksAgain(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{syscall.ENOSPC, syscall.EIO} {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			t.Parallel()
+			dir := t.TempDir()
+			socket, state := filepath.Join(dir, "admin.sock"), filepath.Join(dir, "state")
+			require.NoError(t, os.Mkdir(state, 0o700))
+			half := filepath.Join(state, "plans.state.new-123")
+			require.NoError(t, os.WriteFile(half, []byte("half"), 0o600))
+			var broken atomic.Bool
+			w := world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))},
+				operator: script(t, filepath.Join(dir, "operator.star"), fmt.Sprintf("bramblefall(admin = admin(socket = %q), state_dir = %q)\n", socket, state)),
+				fails: func(number int32, _ uint64, _ int) syscall.Errno {
+					if number == unix.SYS_FSYNC && broken.Load() {
+						return errno
+					}
+					return 0
+				}}
+			l := start(t, w)
+			assert.NoFileExists(t, half)
+			apply := func(want, number int) string {
+				_, said := cli(t, want, "plans", "apply", script(t, filepath.Join(dir, fmt.Sprint(number, ".star")), versionFile(number, "", "rate = 100, burst = 50")), "--socket", socket)
+				return said
+			}
+			broken.Store(true)
+			require.Contains(t, apply(2, 1), "not kept")
+			time.Sleep(300 * time.Millisecond)
+			broken.Store(false)
+			require.Eventually(t, func() bool {
+				_, err := os.Stat(filepath.Join(state, "plans.state"))
+				return err == nil
+			}, patience, 10*time.Millisecond, "the disk works again")
+			time.Sleep(100 * time.Millisecond) // for its directory's sync
+			require.NoError(t, l.cmd.Process.Kill())
+			await(t, l.ended, "the kill")
+			start(t, w)
+			out, _ := cli(t, 0, "plans", "list", "--socket", socket)
+			require.Regexp(t, `1 +in force.*n1`, out)
+			left, err := filepath.Glob(filepath.Join(state, "*"))
+			require.NoError(t, err)
+			assert.Len(t, left, 1, "%q", left)
+		})
+	}
+}
--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -131,7 +131,8 @@
 	sockets  int    // 0: 128
 	limited  bool   // the kernel holds the process to its sockets, too
 	cores    float64
-	fails    failing // system calls of the process that fail; nil: none
+	fails    failing    // system calls of the process that fail; nil: none
+	clock    *wallClock // nil: the machine's
 }
 
 // config is the file that tells a limiter of its world.
@@ -177,6 +178,12 @@
 	if w.registry != nil { // as on the platform, where the environment keeps the first address
 		l.cmd.Env = append(os.Environ(), "RELAY_DISCOVERY="+w.registry.addr)
 	}
+	if w.clock != nil {
+		l.cmd.Env = append(w.clock.environment(), "RELAY_DISCOVERY=")
+		if w.registry != nil {
+			l.cmd.Env = append(w.clock.environment(), "RELAY_DISCOVERY="+w.registry.addr)
+		}
+	}
 	if w.fails != nil {
 		filter(t, l.cmd, w.fails)
 	}
@@ -536,3 +543,9 @@
 	raw, _ := json.Marshal(object{"version": version, "full": full, "servers": entries(servers)})
 	r.say(version, string(raw))
 }
+
+func listLine(t *testing.T, list object) string {
+	raw, err := json.Marshal(list)
+	require.NoError(t, err)
+	return string(raw)
+}
--- /dev/null
+++ b/cmd/bramblefall/testdata/wallclock.c
@@ -0,0 +1,65 @@
+// A library for LD_PRELOAD that moves the wall clock of one process by what a file says, in nanoseconds. Go reads the clock
+// through the vDSO, so its entry there is replaced in the process's own copy. For x86-64.
+#define _GNU_SOURCE
+#include <elf.h>
+#include <fcntl.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/auxv.h>
+#include <sys/mman.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+enum { second = 1000000000, page = 4096 };
+
+static volatile const int64_t *offset;
+
+static long moved(clockid_t id, struct timespec *at) {
+	long result;
+	__asm__ volatile("syscall" : "=a"(result) : "a"(SYS_clock_gettime), "D"(id), "S"(at) : "rcx", "r11", "memory");
+	if (result == 0 && id == CLOCK_REALTIME) {
+		int64_t all = (int64_t)at->tv_sec * second + at->tv_nsec + *offset;
+		at->tv_sec = all / second;
+		at->tv_nsec = all % second;
+	}
+	return result;
+}
+
+static void replace(char *entry) {
+	char jump[12] = {0x48, (char)0xb8, 0, 0, 0, 0, 0, 0, 0, 0, (char)0xff, (char)0xe0}; // mov rax, address; jmp rax
+	void *address = (void *)moved;
+	memcpy(jump + 2, &address, sizeof address);
+	uintptr_t from = (uintptr_t)entry & ~(uintptr_t)(page - 1);
+	if (mprotect((void *)from, 2 * page, PROT_READ | PROT_WRITE | PROT_EXEC) != 0)
+		mprotect((void *)from, page, PROT_READ | PROT_WRITE | PROT_EXEC);
+	memcpy(entry, jump, sizeof jump);
+}
+
+__attribute__((constructor)) static void install(void) {
+	const char *path = getenv("BRAMBLEFALL_TEST_WALLCLOCK");
+	if (!path)
+		return;
+	int fd = open(path, O_RDONLY | O_CLOEXEC);
+	offset = mmap(0, sizeof *offset, PROT_READ, MAP_SHARED, fd, 0);
+	close(fd);
+	char *base = (char *)getauxval(AT_SYSINFO_EHDR);
+	Elf64_Ehdr *head = (Elf64_Ehdr *)base;
+	Elf64_Phdr *program = (Elf64_Phdr *)(base + head->e_phoff);
+	Elf64_Dyn *dynamic = 0;
+	for (int k = 0; k < head->e_phnum; k++)
+		if (program[k].p_type == PT_DYNAMIC)
+			dynamic = (Elf64_Dyn *)(base + program[k].p_offset);
+	Elf64_Sym *symbols = 0;
+	char *names = 0;
+	for (; dynamic && dynamic->d_tag != DT_NULL; dynamic++) {
+		if (dynamic->d_tag == DT_SYMTAB)
+			symbols = (Elf64_Sym *)(base + dynamic->d_un.d_ptr);
+		if (dynamic->d_tag == DT_STRTAB)
+			names = base + dynamic->d_un.d_ptr;
+	}
+	for (Elf64_Sym *s = symbols; symbols && (char *)s < names; s++)
+		if (!strcmp(names + s->st_name, "__vdso_clock_gettime"))
+			replace(base + s->st_value);
+}
--- /dev/null
+++ b/cmd/bramblefall/wallclock_test.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	encoding "encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// wallClock is the wall clock of the processes of a test: all machines read one clock, and it may step.
+type wallClock struct {
+	t       *testing.T
+	path    string
+	library string
+	offset  time.Duration
+}
+
+func newWallClock(t *testing.T) *wallClock {
+	dir := t.TempDir()
+	c := &wallClock{t: t, path: filepath.Join(dir, "offset"), library: filepath.Join(dir, "wallclock.so")}
+	out, err := exec.Command("cc", "-shared", "-fPIC", "-O1", "-o", c.library, "testdata/wallclock.c").CombinedOutput()
+	require.NoError(t, err, string(out))
+	c.step(0)
+	return c
+}
+
+func (c *wallClock) step(by time.Duration) {
+	c.offset += by
+	file, err := os.OpenFile(c.path, os.O_RDWR|os.O_CREATE, 0o600)
+	require.NoError(c.t, err)
+	defer file.Close()
+	_, err = file.WriteAt(encoding.LittleEndian.AppendUint64(nil, uint64(c.offset)), 0)
+	require.NoError(c.t, err)
+}
+
+func (c *wallClock) now() time.Time { return time.Now().Add(c.offset) }
+
+func (c *wallClock) environment() []string {
+	return append(os.Environ(), "LD_PRELOAD="+c.library, "BRAMBLEFALL_TEST_WALLCLOCK="+c.path)
+}
+
+var steps = map[string]time.Duration{"an hour on": time.Hour, "an hour back": -time.Hour, "seconds on": 7 * time.Second, "seconds back": -7 * time.Second}
+
+// busyServer answers after some milliseconds, so that several requests are out at a time.
+func busyServer(t *testing.T, id string) *server {
+	return newServer(t, id, "hall-a", func(conn net.Conn, args []string) {
+		time.Sleep(5 * time.Millisecond)
+		value("v")(conn, args)
+	})
+}
+
+// A server that starts after a step of the wall clock is as cold as any, and warm when its time is over: what discovery tells
+// of its start is the clock's word after the step.
+func TestAStepOfTheWallClockHidesNoColdServer(t *testing.T) {
+	t.Parallel()
+	const cold, requests, atOnce = 4 * time.Second, 400, 8
+	for name, by := range steps {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock := newWallClock(t)
+			warm, fresh := busyServer(t, "s-1"), busyServer(t, "s-2")
+			r := newRegistry(t)
+			r.tell(2, true, warm)
+			set := settings()
+			set["rules"].(object)["cold"] = cold.Seconds()
+			l := start(t, world{settings: set, servers: []*server{warm}, registry: r, clock: clock})
+			share := func(kind string) float64 {
+				before := len(fresh.seen())
+				var clients sync.WaitGroup
+				for k := range atOnce {
+					clients.Go(func() {
+						c := l.dial()
+						for n := range requests / atOnce {
+							assert.Equal(t, "v", c.do(ask(fmt.Sprintf("%s%d-%d", kind, k, n))...))
+						}
+					})
+				}
+				clients.Wait()
+				return float64(len(fresh.seen())-before) / requests
+			}
+			share("before")
+			clock.step(by)
+			time.Sleep(50 * time.Millisecond)
+			began := time.Now()
+			entry := entries([]*server{fresh})
+			entry[0]["started_ms"] = clock.now().UnixMilli()
+			r.say(3, listLine(t, object{"version": 3, "full": false, "servers": entry}))
+			time.Sleep(50 * time.Millisecond)
+			assert.Less(t, share("cold"), 0.35, "a cold server that is taken for a warm one")
+			require.Less(t, time.Since(began), cold/2, "the machine was too busy for this test")
+			time.Sleep(time.Until(began.Add(cold + 500*time.Millisecond)))
+			assert.Greater(t, share("warm"), 0.4, "a warm server that is taken for a cold one")
+		})
+	}
+}
+
+// Limiters that ran through a step of the wall clock and others that started after it count a firm under one name.
+func TestAStepOfTheWallClockLeavesOneNameForAFirmsCount(t *testing.T) {
+	t.Parallel()
+	const both = 2 << 17 // a sum in which two limiters have told their forecasts
+	for name, by := range map[string]time.Duration{"an hour on": time.Hour, "an hour back": -time.Hour, "minutes on": 2 * time.Minute,
+		"minutes back": -2 * time.Minute} { // the stand-in forgets no name: of a step by seconds both would find the other's
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clock, counter := newWallClock(t), newCounter(t)
+			s := newServer(t, "s-1", "hall-a", value("v"))
+			startAs := func(rank int) *limiter {
+				set := settings()
+				set["balancers"], set["rank"] = 2, rank
+				set["tariffs"].([]object)[0]["perSecond"], set["tariffs"].([]object)[0]["depth"] = 20, 40
+				return start(t, world{settings: set, servers: []*server{s}, counter: counter, clock: clock})
+			}
+			through := []*limiter{startAs(0)}
+			first := through[0].dial()
+			require.Equal(t, "v", first.do(two("00")...))
+			clock.step(by)
+			through = append(through, startAs(1))
+			var clients sync.WaitGroup
+			stop := make(chan struct{})
+			for k, l := range through {
+				clients.Go(func() {
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(100 * time.Millisecond):
+							l.dial().do(two(fmt.Sprintf("%d%06d", k, n))...)
+						}
+					}
+				})
+			}
+			assert.Eventually(t, func() bool { return counter.largest() >= both }, patience/2, 10*time.Millisecond)
+			close(stop)
+			clients.Wait()
+		})
+	}
+}
+
+// two is a request of a firm that comes through two limiters.
+func two(id string) []string {
+	args := ask(id)
+	args[3] = strings.Replace(args[3], "spread=1", "spread=2", 1)
+	return args
+}
+
+// largest is the largest total of a name.
+func (c *quotaCounter) largest() (most float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, total := range c.names {
+		most = max(most, total)
+	}
+	return most
+}
