--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -60,6 +60,9 @@
 // Closing says that the limiter is about to end: what is open is answered now, and what comes later at once (event).
 type Closing struct{}
 
+// ClockStepped says how far the wall clock is ahead of the reducer's from now on (event). At first it is not.
+type ClockStepped struct{ Ahead time.Duration }
+
 // Effect is one of the types below that end in a comment "effect".
 type Effect any
 
@@ -167,6 +170,7 @@
 	tending  bool          // the reserve timer is set
 	tally    Tally
 	now      time.Duration
+	ahead    time.Duration // of the wall clock, by which plans and reservations name their times
 	requests map[uint64]*requestContext
 	ring     *spread.Ring       // nil: there is one counter
 	relistAt time.Duration      // when the list timer rings; 0: it is not set
@@ -215,6 +219,11 @@
 		r.counted(e)
 	case ClientGone:
 		r.clientGone(e.ID)
+	case ClockStepped:
+		r.ahead = e.Ahead
+		r.reserves.Ahead(e.Ahead)
+		r.tell(logic.ClockStepped(e))
+		r.turn()
 	case Closing:
 		r.closing = true
 		r.tell(logic.Closing{})
--- a/internal/core/plans.go
+++ b/internal/core/plans.go
@@ -105,8 +105,8 @@
 // Begin brings into force what is due at the start and tells the fronts.
 func (r *Reducer) Begin(now time.Duration, effects []Effect) []Effect {
 	r.now, r.effects = max(r.now, now), effects
-	r.book.Advance(r.now)
-	r.book.Turn(r.now)
+	r.book.Advance(r.wall())
+	r.book.Turn(r.wall())
 	r.reserves.Set(r.book.Reservations())
 	r.publish()
 	r.alarm()
@@ -119,13 +119,13 @@
 
 // ask answers a question; a change is taken whole or not at all.
 func (r *Reducer) ask(e Ask) {
-	reply := Reply{Now: r.now}
+	reply := Reply{Now: r.wall()}
 	changed := true
 	switch q := e.Question.(type) {
 	case Replace:
-		reply.Err = r.book.Replace(q.Source, q.Versions, q.Reservations, r.now, r.gateway.InUse(r.book.Tiers()))
+		reply.Err = r.book.Replace(q.Source, q.Versions, q.Reservations, r.wall(), r.gateway.InUse(r.book.Tiers()))
 	case Reread:
-		reply.Err = r.book.Reread(q.Tiers, r.now, r.gateway.InUse(r.book.Tiers()))
+		reply.Err = r.book.Reread(q.Tiers, r.wall(), r.gateway.InUse(r.book.Tiers()))
 	case Propose:
 		inUse := r.gateway.InUse(r.book.Tiers())
 		reply.Effects = plans.Diff(r.book.Current().Tiers, q.Version.Tiers, inUse)
@@ -133,13 +133,13 @@
 		if q.DryRun {
 			book, changed = r.book.Clone(), false
 		}
-		reply.Err = book.Propose(q.Version, r.now, inUse)
+		reply.Err = book.Propose(q.Version, r.wall(), inUse)
 	case Withdraw:
-		reply.Err = r.book.Withdraw(q.Number, r.now)
+		reply.Err = r.book.Withdraw(q.Number, r.wall())
 	case Grant:
-		reply.Err = r.book.Grant(q.Reservation, r.now)
+		reply.Err = r.book.Grant(q.Reservation, r.wall())
 	case Revoke:
-		reply.Err = r.book.Revoke(q.ID, r.now)
+		reply.Err = r.book.Revoke(q.ID, r.wall())
 	case Show:
 		changed = false
 	}
@@ -162,14 +162,17 @@
 	r.do(answered)
 }
 
+// wall is the time by the wall clock.
+func (r *Reducer) wall() time.Duration { return r.now + r.ahead }
+
 // turn moves the book on with time: one moment for all that changes.
 func (r *Reducer) turn() {
-	if r.book.Advance(r.now) {
+	if r.book.Advance(r.wall()) {
 		r.publish()
 		r.do(Store{Book: r.book.Snapshot()})
 		r.tell(logic.PlansChanged{})
 	}
-	r.book.Turn(r.now)
+	r.book.Turn(r.wall())
 	r.reserves.Set(r.book.Reservations())
 	r.alarm()
 }
@@ -187,7 +190,7 @@
 	if !due {
 		return
 	}
-	at = min(max(at, r.now+1), r.now+latest)
+	at = min(max(at-r.ahead, r.now+1), r.now+latest)
 	if r.planned == 0 || at < r.planned {
 		r.planned = at
 		r.do(SetTimer{at, Timer{kind: planTimer}})
@@ -207,7 +210,7 @@
 				c.Began, 0)
 		}
 		for _, id := range spent {
-			r.book.Spend(id, r.now)
+			r.book.Spend(id, r.wall())
 			r.reserves.Set(r.book.Reservations())
 		}
 		for _, firm := range woken {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -49,6 +49,7 @@
 	mu    sync.Mutex
 	inbox []core.Event
 
+	ahead   time.Duration // of the wall clock, as the reducer was told
 	timers  timers
 	effects []core.Effect
 	traced  bool // tries and outcomes are logged: off in service
@@ -77,11 +78,25 @@
 // Open is how many request contexts are in hand.
 func (l *Loop) Open() int { return int(l.open.Load()) }
 
-var epoch, began = time.Now().UnixNano(), time.Now()
+var began = time.Now()
 
-// Now is the limiter's clock: Unix time, as servers' starts are told and as limiters number their intervals,
-// but moved on by the monotonic clock, so that a step of the wall clock changes no deadline.
-func Now() time.Duration { return time.Duration(epoch) + time.Since(began) }
+// Now is the limiter's clock: Unix time at the start, moved on by the monotonic clock, so that a step of the wall clock changes
+// no deadline. The reducer is told of such steps: servers' starts are told by the wall clock, and limiters number their
+// intervals by it.
+func Now() time.Duration {
+	now, _ := clocks()
+	return now
+}
+
+// clocks reads the limiter's clock and how far the wall clock is ahead of it, at one moment.
+func clocks() (now, ahead time.Duration) {
+	at := time.Now()
+	now = time.Duration(began.UnixNano()) + at.Sub(began)
+	return now, time.Duration(at.UnixNano()) - now
+}
+
+// leastStep is what the wall clock has to be off by: less, as where it is slewed, is made up for once it adds up to that.
+const leastStep = 50 * time.Millisecond
 
 // Post hands in an event. The inbox holds at most a few for each request context, try and call in hand, and
 // those are bounded by the fronts.
@@ -131,7 +146,12 @@
 
 // turn reduces a batch and the timers that are due, then runs the effects.
 func (l *Loop) turn(batch []core.Event) {
-	now := Now()
+	now, ahead := clocks()
+	if off := ahead - l.ahead; off.Abs() >= leastStep {
+		slog.Info("the wall clock has stepped", "by", off.Round(time.Millisecond))
+		l.ahead = ahead
+		l.effects = l.reducer.Reduce(now, core.ClockStepped{Ahead: ahead}, l.effects)
+	}
 	for _, ev := range batch {
 		if o, ok := ev.(core.Outcome); ok && l.traced {
 			slog.Debug("outcome", "context", o.ID, "try", o.Try, "status", o.Status)
--- a/internal/reserve/reserve.go
+++ b/internal/reserve/reserve.go
@@ -64,7 +64,8 @@
 // Manager leases for all firms of one limiter.
 type Manager struct {
 	gateways, rank int
-	largest        float64 // request
+	ahead          time.Duration // of the wall clock
+	largest        float64       // request
 	accounts       map[string]*account
 	firms          map[uint64][]*account // those not over, by end
 	past           map[string]Use        // of those that are over and still listed
@@ -123,6 +124,9 @@
 		firms: map[uint64][]*account{}, past: map[string]Use{}, out: map[uint64]*account{}}
 }
 
+// Ahead sets how far the wall clock is ahead of the time that is told. Generations and reservations go by it.
+func (m *Manager) Ahead(by time.Duration) { m.ahead = by }
+
 // Set takes the reservations that may be drawn now. Those that are gone are forgotten with what is in hand; the firms
 // that it held something for are woken.
 func (m *Manager) Set(list []plans.Reservation) {
@@ -257,12 +261,12 @@
 
 func (a *account) leased() float64 { return a.base + max(0, max(a.total, a.floor)-a.given) }
 
-// allowed is how much may have been drawn by now.
-func (a *account) allowed(now time.Duration) float64 {
+// allowed is how much may have been drawn by a time of the wall clock.
+func (a *account) allowed(wall time.Duration) float64 {
 	if a.r.Rate <= 0 {
 		return a.r.Units
 	}
-	return min(a.r.Units, a.r.Rate*(1+(now-a.r.From).Seconds()))
+	return min(a.r.Units, a.r.Rate*(1+(wall-a.r.From).Seconds()))
 }
 
 // size is what a lease takes: what a second needs, up to the part.
@@ -273,11 +277,15 @@
 
 // step makes the next call that is due, one at a time.
 func (m *Manager) step(now time.Duration, a *account) {
-	if a.called != none || now >= a.r.Until {
+	wall := now + m.ahead
+	if a.called != none || wall >= a.r.Until {
 		return
 	}
-	gen, first := int64(now/generation), int64(a.r.From/generation)
-	into := now - time.Duration(gen)*generation
+	gen, first := int64(wall/generation), int64(a.r.From/generation)
+	into := wall - time.Duration(gen)*generation
+	if a.based && gen < a.gen { // the wall clock has stepped back: what was leased stays so
+		a.begin(gen, a.leased())
+	}
 	switch {
 	case !a.based && gen == first:
 		a.gen, a.based, a.published = gen, true, true // nothing was drawn before
@@ -298,7 +306,7 @@
 	case !a.published && into >= guard+time.Duration(m.rank)*publishGap && now >= a.tryAt:
 		m.call(a, publish, a.name("base", gen), 0)
 	case into >= generation-guard || now < a.tryAt:
-	case wanted && a.leased()+eps < a.allowed(now):
+	case wanted && a.leased()+eps < a.allowed(now+m.ahead):
 		m.call(a, lease, a.name("leased", gen), size)
 	case a.hand > 0 && now-a.wantAt >= idleAfter:
 		give := a.hand
@@ -345,7 +353,7 @@
 	m.next++
 	a.called, a.amount = k, amount
 	m.out[m.next] = a
-	m.calls = append(m.calls, Call{m.next, name, amount, lives, callWait, time.Duration(a.gen) * generation})
+	m.calls = append(m.calls, Call{m.next, name, amount, lives, callWait, time.Duration(a.gen)*generation - m.ahead})
 }
 
 // name is that of a count of one generation: limiters agree on it without talk.
@@ -382,7 +390,7 @@
 		a.given = total
 		a.begin(a.gen+1, a.leased())
 	case lookBack:
-		if a.given = total; a.leased()+eps >= a.allowed(now) {
+		if a.given = total; a.leased()+eps >= a.allowed(now+m.ahead) {
 			m.nothingLeft(now, a)
 		}
 	case base:
@@ -443,7 +451,7 @@
 		return
 	}
 	kept := amount
-	if over := a.leased() - a.allowed(now); over > 0 {
+	if over := a.leased() - a.allowed(now+m.ahead); over > 0 {
 		kept = max(0, amount-over)
 	}
 	a.hand, a.own, a.empty = a.hand+kept, a.own+amount, kept <= 0
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -275,7 +275,8 @@
 	} else if c.sparse = c.n > ownView && float64(p.Open)/c.n < wholeShare; c.sparse {
 		c.span = drawSpan
 	}
-	c.phase = time.Duration(mix(c.id) % uint64(c.span)) // customers' intervals end at different times
+	c.ahead = g.clock.ahead()
+	c.phase = time.Duration(mix(c.id)%uint64(c.span)) + c.ahead // customers' intervals end at different times
 	c.number = c.interval(g.now)
 	c.part = c.even()
 }
@@ -620,7 +621,7 @@
 	if c.n > ownView || want < 0.5*share && (share >= 1 || c.plan.Rate <= 0) {
 		return max(1, int(share))
 	}
-	turn := g.now.Seconds() / g.turnTime.Seconds()
+	turn := (g.now + c.ahead).Seconds() / g.turnTime.Seconds()
 	return int(math.Floor(share*(c.place+1)+turn) - math.Floor(share*c.place+turn))
 }
 
--- a/logic/state.go
+++ b/logic/state.go
@@ -53,7 +53,8 @@
 	due, blind              time.Duration // blind: no draws before
 	asking                  bool          // a draw is out
 	shut                    time.Duration // nothing is left of the quota until then
-	span, phase             time.Duration
+	span, phase             time.Duration // phase: with ahead
+	ahead                   time.Duration // of the shared clock
 	seen, filled            time.Duration
 	level, part, ceiling    float64 // the local store; part: units a second, or attempts out
 	held                    []*request
@@ -96,7 +97,8 @@
 	fails, latency         float64       // smoothed
 	heard, until, backoff  time.Duration // until: ejected, the next trial
 	ejected, trial, listed bool
-	cold                   float64 // budget of attempts while cold
+	startedAt              time.Duration // Started, by this gateway's time
+	cold                   float64       // budget of attempts while cold
 	coldAt                 time.Duration
 	hall                   *hall // that counts it; nil: it is not usable
 	warm                   bool  // as it is counted
@@ -251,6 +253,7 @@
 		if s.Started != e.Started { // a new process: nothing known of the old one holds
 			s.fails, s.ejected, s.trial, s.backoff, s.latency = 0, false, false, firstEject, g.untried(f)
 			s.cold, s.coldAt = g.random(), g.now // not all gateways at once
+			s.startedAt = g.clock.instant(e.Started, g.now)
 			f.met(e.Zone, OK, g.now)
 		}
 		s.Server = e
@@ -332,7 +335,8 @@
 	stale             []*customer   // not all of these have taken up the last change
 	rng               uint64
 	now, woke         time.Duration // woke: when this process last went on after a pause of its own
-	blind             float64       // share of the fleet's work that is not seen here, as far as it matters
+	clock             sharedClock
+	blind             float64 // share of the fleet's work that is not seen here, as far as it matters
 	started, watching bool
 	actions           []Action
 	requests          map[uint64]*request
@@ -430,7 +434,7 @@
 // figures count in other steps and intervals, so theirs have other names.
 func (c *customer) name(what int64) uint64 {
 	if what == tickets {
-		return mix(c.id ^ c.print ^ mix(uint64(int64(c.filled/c.lasts(tickets))<<2|what)))
+		return mix(c.id ^ c.print ^ mix(uint64(int64((c.filled+c.ahead)/c.lasts(tickets))<<2|what)))
 	}
 	return mix(c.id ^ c.print ^ mix(uint64(c.number<<2|what)))
 }
@@ -457,7 +461,7 @@
 }
 
 // begun is how long the running total of a customer's store has been added to.
-func (c *customer) begun(now time.Duration) time.Duration { return now % c.lasts(tickets) }
+func (c *customer) begun(now time.Duration) time.Duration { return (now + c.ahead) % c.lasts(tickets) }
 
 const (
 	epochs     = 8.0              // bursts that a total spans
@@ -553,6 +557,8 @@
 		}
 	case PlansChanged:
 		g.replan()
+	case ClockStepped:
+		g.clockStepped(e)
 	case Leased:
 		if c := g.customers[e.Customer]; c != nil && len(c.held) > 0 {
 			g.reconsider(c)
@@ -655,7 +661,7 @@
 
 // warmth is the share of its capacity that a server has at least; 1 when warm.
 func (g *Gateway) warmth(s *server) float64 {
-	age := g.now - s.Started
+	age := g.now - s.startedAt
 	if s.Started <= 0 || age >= g.set.Cold || g.set.Cold <= 0 {
 		return 1
 	}
@@ -849,7 +855,7 @@
 		c.filled = max(r.filled, g.changed)
 		return
 	}
-	c.number, c.intervals = r.number, 1
+	c.number, c.intervals = min(r.number, c.interval(g.now)), 1 // the shared clock may have stepped back
 	c.excess, c.rate, c.drift, c.spread = float64(r.excess), float64(r.rate), float64(r.drift), float64(r.spread)
 }
 
