--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -1,15 +1,21 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	rlsv3 "github.com/envoyproxy/go-control-plane/envoy/service/ratelimit/v3"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -128,3 +134,164 @@
 		})
 	}
 }
+
+// A new connection for which there is no room is shut unread: its client is sure that its request was not taken.
+func TestANewConnectionWithoutRoomIsShutUnread(t *testing.T) {
+	t.Parallel()
+	held := make(chan struct{})
+	defer close(held)
+	s := newServer(t, "s-1", "hall-a", func(net.Conn, []string) { <-held })
+	l := start(t, world{servers: []*server{s}})
+	const room = 32 // clients, of 128 descriptors
+	for n := range room {
+		l.dial().write(command(ask(fmt.Sprintf("%02x", n))...))
+	}
+	require.Eventually(t, func() bool { return len(s.seen()) >= room/2 }, patience, time.Millisecond)
+	var late []*client
+	l.stopped(100*time.Millisecond, func() {
+		for n := range 3 {
+			c := l.dial()
+			c.write(command(ask(fmt.Sprintf("late%d", n))...))
+			late = append(late, c)
+		}
+	})
+	for n, c := range late {
+		_, err := c.in.ReadByte()
+		assert.ErrorIs(t, err, syscall.ECONNRESET, "connection %d: a close over bytes that were read ends in order", n)
+	}
+}
+
+// Callers of the gRPC front hear as late of a planned restart as clients do: for a moment their new connections are taken and
+// their calls answered.
+func TestAPlannedRestartTakesLateCallers(t *testing.T) {
+	t.Parallel()
+	l := start(t, world{second: second(t), servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}})
+	known := l.service()
+	_, err := known.ShouldRateLimit(inTime(t), call(of("1")))
+	require.NoError(t, err)
+	l.terminate()
+	l.says("msg=draining")
+	for until := time.Now().Add(350 * time.Millisecond); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		_, err := l.service().ShouldRateLimit(inTime(t), call(of("1")))
+		require.NoError(t, err, "a new connection")
+		_, err = known.ShouldRateLimit(inTime(t), call(of("1")))
+		require.NoError(t, err, "an open connection")
+	}
+	l.leaves()
+}
+
+// lateEndpoint is an endpoint whose connections are of use only when ready is closed: HTTP/2 begins with its settings.
+type lateEndpoint struct {
+	addr  string
+	calls atomic.Int64 // that have begun
+	conns atomic.Int64
+}
+
+const (
+	http2Preface  = 24 // bytes
+	http2Head     = 9  // of a frame
+	http2Headers  = 1  // the kind of frame that begins a call
+	http2Settings = "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+)
+
+// newLateEndpoint calls begins before each connection is of use, and begun when a call has begun; that may end the connection.
+func newLateEndpoint(t *testing.T, begins func(nth int64), begun func(conn net.Conn)) *lateEndpoint {
+	e := &lateEndpoint{}
+	e.addr = acceptOn(t, func(conn net.Conn) {
+		begins(e.conns.Add(1))
+		_, _ = io.WriteString(conn, http2Settings)
+		in := bufio.NewReader(conn)
+		_, _ = io.CopyN(io.Discard, in, http2Preface)
+		for head := make([]byte, http2Head); ; {
+			if _, err := io.ReadFull(in, head); err != nil {
+				return
+			}
+			size := int64(head[0])<<16 | int64(head[1])<<8 | int64(head[2])
+			if _, err := io.CopyN(io.Discard, in, size); err != nil {
+				return
+			}
+			if head[3] == http2Headers {
+				e.calls.Add(1)
+				begun(conn)
+			}
+		}
+	})
+	return e
+}
+
+// An endpoint of others that its file says to drain gets nothing new after the grace: no call that is made then, and none that has
+// waited for a connection. Nor does a repeat of a keyed class after its window.
+func TestNoCallLeavesTooLate(t *testing.T) {
+	t.Parallel()
+	const grace = 550 * time.Millisecond // 500, and 50 that every limit on sockets is longer
+	keyed := func() *rlsv3.RateLimitRequest {
+		return call(descriptor("firm", "1", "tier", "regular", "class", "transfer-post", "spread", "1", "first", "0"))
+	}
+	t.Run("a repeat after its window", aRepeatAfterItsWindow)
+	t.Run("waits for a connection", func(t *testing.T) {
+		t.Parallel()
+		left := newLateEndpoint(t, func(int64) { time.Sleep(grace + 200*time.Millisecond) }, func(net.Conn) {})
+		other := &others{answer: verdictOf(within)}
+		file := second(t, left.addr)
+		s := start(t, world{second: file}).service()
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.ShouldRateLimit(inTime(t), keyed())
+			done <- err
+		}()
+		require.Eventually(t, func() bool { return left.conns.Load() > 0 }, patience, time.Millisecond)
+		writeEndpoints(t, filepath.Dir(file), 1, left.addr, other.listen(t))
+		require.NoError(t, await(t, done, "the verdict"))
+		time.Sleep(2 * grace)
+		assert.Zero(t, left.calls.Load())
+	})
+	t.Run("is made then", func(t *testing.T) {
+		t.Parallel()
+		a, b := &others{answer: verdictOf(within)}, &others{answer: verdictOf(within)}
+		first, then := a.listen(t), b.listen(t)
+		file := second(t, first, then)
+		s := start(t, world{second: file}).service()
+		stop := make(chan struct{})
+		var callers sync.WaitGroup
+		for range 4 {
+			callers.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(5 * time.Millisecond):
+						_, _ = s.ShouldRateLimit(inTime(t), keyed())
+					}
+				}
+			})
+		}
+		for round := range 4 {
+			time.Sleep(300 * time.Millisecond)
+			writeEndpoints(t, filepath.Dir(file), 1, first, then)
+			time.Sleep(grace)
+			before := a.calls()
+			time.Sleep(300 * time.Millisecond)
+			assert.Equal(t, before, a.calls(), "round %d", round)
+			a, b, first, then = b, a, then, first
+		}
+		close(stop)
+		callers.Wait()
+	})
+}
+
+// aRepeatAfterItsWindow has a connection that is of use only after the window.
+func aRepeatAfterItsWindow(t *testing.T) {
+	t.Parallel()
+	const window = 500 * time.Millisecond
+	set := class(settings(), 1, object{"keyTtl": window.Seconds()})
+	e := newLateEndpoint(t, func(nth int64) {
+		if nth > 1 {
+			time.Sleep(window + 200*time.Millisecond)
+		}
+	}, func(conn net.Conn) { _ = conn.Close() })
+	s := start(t, world{settings: set, second: second(t, e.addr)}).service()
+	_, err := s.ShouldRateLimit(inTime(t), call(descriptor("firm", "1", "tier", "regular", "class", "transfer-post", "spread", "1", "first", "0")))
+	require.Error(t, err)
+	time.Sleep(2 * window)
+	assert.EqualValues(t, 1, e.calls.Load(), "a repeat that no server drops any more")
+}
