Late callers are taken, late calls to others held back, connections without room shut unread

Excluded: the module (it had the state Draining and the window; the wires did not). At fault: accept() handed a connection to the poller before it asked for room, and netpoll reads after a shutdown; Front.Drain called GracefulStop at once; ratelimit.Caller knew neither drains nor Try.Until; xds looked at its files each second, and 500 ms count. Change: room is asked for where the kernel's accept is; the gRPC front drains 0.45 s later; Caller.Withdraw and the window end calls of which nothing has left, as never run; files are looked at five times within the grace (each 100 ms at most), withdrawn before the module hears.

--- a/cmd/bramblefall/ratelimit.go
+++ b/cmd/bramblefall/ratelimit.go
@@ -61,7 +61,7 @@
 // prepare makes the front and the caller of its upstream group.
 func (r *rateLimit) prepare(set logic.Settings, owner *loop.Loop, board *plans.Board, callers, endpoints int) loop.Caller {
 	r.front = ratelimit.NewFront(set, owner, board, r.Domain, r.Others != nil, callers)
-	r.caller = ratelimit.NewCaller(owner.Post, endpoints)
+	r.caller = ratelimit.NewCaller(owner.Post, loop.Now, endpoints)
 	if r.Others != nil {
 		r.group = xds.New(*r.Others, ratelimit.OthersGroup, set, r.caller, owner.Post)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -120,7 +120,7 @@
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
 	f.listener = l
-	l.Room(func() bool { return f.Clients() <= f.most+mostClosing })
+	l.Room(f.room)
 	events, err := netpoll.NewEventLoop(nil, netpoll.WithOnPrepare(f.accept))
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
@@ -196,23 +196,27 @@
 	c.out = socket.NewOutbox(conn, c.leave, f.backlog)
 	c.trace("client connection accepted")
 	f.mu.Lock()
-	full := len(f.clients) >= f.most
 	f.clients[c] = struct{}{}
 	f.entered++
 	f.mu.Unlock()
-	if full {
-		f.evict(c)
-	}
 	conn.Late(c.late)
 	conn.Serve(c.ready, c.closed)
 	return context.Background()
 }
 
+// room tells whether there is room for a connection that has just been accepted, or makes some. Where it does not, the connection
+// is closed before anybody reads from it, so that its client is sure that nothing was taken.
+func (f *Front) room() bool {
+	n := f.Clients()
+	return n <= f.most || n <= f.most+mostClosing && f.evict()
+}
+
 // evict closes the client connection that has been idle longest, those first that have been silent since they came
 // and for a while: the descriptors are needed for the servers, too. If a command crosses the close, its client sends
 // it again; one that has just come is about to speak. One of which something waits to be read is passed over for the next.
-// Where none is idle one goes that has brought half a command and not the rest: of that nothing has been taken.
-func (f *Front) evict(newest *clientConnection) {
+// Where none is idle one goes that has brought half a command and not the rest: of that nothing has been taken. It tells
+// whether one goes: where all are busy none does.
+func (f *Front) evict() bool {
 	var idle, half []idleness
 	for _, c := range f.all() {
 		i := c.idle()
@@ -220,7 +224,6 @@
 			i.since = i.since.Add(-longIdle)
 		}
 		switch {
-		case c == newest:
 		case i.is:
 			idle = append(idle, i)
 		case i.half:
@@ -232,15 +235,10 @@
 	slices.SortFunc(half, longest)
 	for _, i := range append(idle, half...) {
 		if i.of.closeIdle(i.half) {
-			return
+			return true
 		}
 	}
-	// All are busy: it has been promised nothing yet. Guards against a front that is over its bound with nobody on the way out:
-	// what comes would be shut unread for as long as the others stay.
-	newest.mu.Lock()
-	newest.ending, newest.deafAt = true, time.Now() // a command that came with it is not read
-	newest.mu.Unlock()
-	newest.conn.Refuse()
+	return false
 }
 
 // idleness is how little a client connection is used.
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -35,7 +35,8 @@
 // that has been unused longest is given up, since descriptors are few.
 type Caller struct {
 	post func(core.Event)
-	most int // connections
+	now  func() time.Duration // the reducer's clock
+	most int                  // connections
 
 	mu        sync.Mutex
 	endpoints map[logic.ServerID]*endpoint
@@ -44,22 +45,24 @@
 }
 
 type endpoint struct {
-	addr   string
-	client *grpc.ClientConn // nil: none is needed yet
-	out    int              // calls on it
-	used   time.Time
+	addr      string
+	client    *grpc.ClientConn // nil: none is needed yet
+	out       int              // calls on it
+	used      time.Time
+	withdrawn bool // it drains: no call begins any more
 }
 
 // pending is a try that is out.
 type pending struct {
+	at     *endpoint
 	cancel context.CancelFunc
 	reason atomic.Int32 // logic.Status for which it was abandoned; OK: it was not
 	sent   atomic.Bool  // something of it may have left
 }
 
-// NewCaller makes a caller without endpoints that holds so many connections at most.
-func NewCaller(post func(core.Event), most int) *Caller {
-	return &Caller{post: post, most: most, endpoints: map[logic.ServerID]*endpoint{}, tries: map[core.Key]*pending{}}
+// NewCaller makes a caller without endpoints that holds so many connections at most. Now is the reducer's clock.
+func NewCaller(post func(core.Event), now func() time.Duration, most int) *Caller {
+	return &Caller{post: post, now: now, most: most, endpoints: map[logic.ServerID]*endpoint{}, tries: map[core.Key]*pending{}}
 }
 
 // SetAddress says where an endpoint listens.
@@ -68,12 +71,37 @@
 	defer c.mu.Unlock()
 	e := c.endpoints[id]
 	if e != nil && e.addr == addr {
+		e.withdrawn = false
 		return
 	}
 	c.drop(id)
 	c.endpoints[id] = &endpoint{addr: addr}
 }
 
+// Withdraw ends what is new to an endpoint that drains: calls of which nothing has left never do. What it has got it may still
+// answer.
+func (c *Caller) Withdraw(id logic.ServerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.withdrawn = true
+	for _, p := range c.tries {
+		if p.at == e {
+			p.withhold(logic.Full) // as the endpoint itself would turn it away
+		}
+	}
+}
+
+// withhold ends a call of which nothing has left.
+func (p *pending) withhold(reason logic.Status) {
+	if !p.sent.Load() && p.reason.CompareAndSwap(int32(logic.OK), int32(reason)) {
+		p.cancel()
+	}
+}
+
 // connect makes an endpoint's connection where there is none. Unsent, which blames no endpoint, if every one is in use.
 func (c *Caller) connect(e *endpoint) logic.Status {
 	if e.client != nil {
@@ -146,14 +174,20 @@
 	}
 	e, ok := c.endpoints[t.Server]
 	status := logic.ConnectFailed
-	if ok {
+	switch {
+	case !ok:
+	case e.withdrawn:
+		status = logic.Full
+	case t.Until > 0 && c.now() >= t.Until:
+		status = logic.Unsent
+	default:
 		status = c.connect(e)
 	}
 	if status != logic.OK {
 		c.post(core.Outcome{Key: t.Key, Status: status})
 		return
 	}
-	p := &pending{}
+	p := &pending{at: e}
 	ctx, cancel := context.WithTimeout(context.WithValue(origin.call, pendingKey{}, p), t.Wait) // it ends with the caller's
 	p.cancel = cancel
 	c.tries[t.Key] = p
@@ -161,6 +195,10 @@
 	e.out++
 	client := e.client
 	lastwords.Go(func() { c.call(ctx, e, client, origin, t.Key, p) })
+	if t.Until > 0 { // a connection that is of use later must not bring a repeat that nobody drops any more
+		window := lastwords.AfterFunc(t.Until-c.now(), func() { p.withhold(logic.Timeout) })
+		context.AfterFunc(ctx, func() { window.Stop() })
+	}
 }
 
 func (c *Caller) call(ctx context.Context, e *endpoint, client *grpc.ClientConn, origin *check, key core.Key, p *pending) {
@@ -189,21 +227,23 @@
 	if err == nil {
 		return logic.OK
 	}
-	if reason := logic.Status(p.reason.Load()); reason != logic.OK {
-		if reason == logic.Timeout && !p.sent.Load() {
-			return logic.ConnectFailed
-		}
+	switch reason := logic.Status(p.reason.Load()); {
+	case reason == logic.Timeout && !p.sent.Load():
+		return logic.ConnectFailed
+	case reason == logic.Full && p.sent.Load(): // it left in the moment in which it was withdrawn
+		return logic.Reset
+	case reason != logic.OK:
 		return reason
 	}
 	switch status.Code(err) {
-	case codes.DeadlineExceeded, codes.Unavailable:
+	case codes.DeadlineExceeded, codes.Unavailable, codes.Canceled:
 		if !p.sent.Load() {
 			return logic.ConnectFailed
 		}
-		if status.Code(err) == codes.Unavailable {
-			return logic.Reset
+		if status.Code(err) == codes.DeadlineExceeded {
+			return logic.Timeout
 		}
-		return logic.Timeout
+		return logic.Reset
 	}
 	return logic.Error
 }
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -37,7 +37,8 @@
 	mostDescriptors = 16      // of one call: each is a request context
 	mostCall        = 1 << 20 // bytes
 	mostUnits       = 1e6
-	mostCalls       = 1024 // at once, of one connection
+	mostCalls       = 1024                   // at once, of one connection
+	drainGrace      = 450 * time.Millisecond // callers hear of a planned restart so late
 	atTheEnd        = 25 * time.Millisecond
 	crowded         = time.Second // when to come back if too many are in hand
 )
@@ -99,9 +100,11 @@
 	return l.Addr(), nil
 }
 
-// Drain takes no new call and waits for those in hand.
+// Drain ends the front at a planned restart. Callers are told at once and hear of it late: for a little longer all goes on. Then
+// it takes no new call and waits for those in hand.
 func (f *Front) Drain() {
 	f.health.Shutdown()
+	time.Sleep(drainGrace)
 	f.server.GracefulStop()
 }
 
--- a/internal/ratelimit/gone_test.go
+++ b/internal/ratelimit/gone_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/loop"
 	"bramblefall/internal/plans"
 	"bramblefall/logic"
 )
@@ -103,7 +104,7 @@
 			t.Cleanup(service.Stop)
 			others := &counting{}
 			rlsv3.RegisterRateLimitServiceServer(service, others)
-			caller := NewCaller(owner.Post, 10)
+			caller := NewCaller(owner.Post, loop.Now, 10)
 			t.Cleanup(caller.Close)
 			caller.SetAddress(1, l.Addr().String())
 			call := func(ctx context.Context) {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -187,17 +187,6 @@
 	return err == nil && n > 0
 }
 
-// Refuse ends a connection that OnPrepare has been handed and that is not registered with the poller yet. Closing it
-// there or from a goroutine would race with that: the descriptor could be another connection's by then. The poller
-// sees the end that this makes and closes.
-func (c *Conn) Refuse() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.over {
-		_ = syscall.Shutdown(c.raw.(netpoll.Conn).Fd(), syscall.SHUT_RDWR)
-	}
-}
-
 // Abort ends both directions at once, also where a write is under way, and what the kernel still holds of it is not sent once
 // Close, which has still to be called, has reset the connection. It waits for nothing.
 func (c *Conn) Abort() {
--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -27,7 +27,9 @@
 )
 
 const (
-	lookEvery = time.Second
+	looks     = 5 // at the files within the grace for drains: what they say counts as told when it is written
+	leastLook = 20 * time.Millisecond
+	mostLook  = 100 * time.Millisecond
 	firstID   = 1 << 40 // apart from the ids of the platform's servers
 )
 
@@ -38,9 +40,10 @@
 	Endpoints string `json:"endpoints"` // EDS resources; not needed if the cluster holds its endpoints
 }
 
-// Addresses learns where endpoints listen, and which are no longer named.
+// Addresses learns where endpoints listen, which of them take nothing new, and which are no longer named.
 type Addresses interface {
 	SetAddress(id logic.ServerID, addr string)
+	Withdraw(id logic.ServerID)
 	Remove(id logic.ServerID)
 }
 
@@ -51,8 +54,10 @@
 	zones *wire.Names
 	book  Addresses
 	post  func(core.Event)
+	every time.Duration // between two looks at the files
 
 	ids   map[string]logic.ServerID // by address
+	addrs map[logic.ServerID]string
 	named map[string]bool
 	seen  string // what the files looked like
 }
@@ -60,7 +65,7 @@
 // New makes the follower of a cluster, which becomes the upstream group of this number.
 func New(files Files, group int, set logic.Settings, book Addresses, post func(core.Event)) *Group {
 	return &Group{files: files, group: group, zones: wire.NewNames(set.ZoneNames), book: book, post: post,
-		ids: map[string]logic.ServerID{}, named: map[string]bool{}}
+		every: min(max(set.DrainGrace/looks, leastLook), mostLook), ids: map[string]logic.ServerID{}, addrs: map[logic.ServerID]string{}, named: map[string]bool{}}
 }
 
 // Load reads the files and passes their endpoints on as the whole group.
@@ -85,22 +90,27 @@
 			named[addr] = true
 			list.Servers = append(list.Servers, logic.Server{ID: g.id(addr), Zone: zone,
 				Weight: float64(max(e.GetLoadBalancingWeight().GetValue(), 1)), State: state(e)})
-			g.book.SetAddress(g.id(addr), addr)
 		}
 	}
-	g.post(core.UpstreamGroup{ServerList: list})
+	for _, s := range list.Servers { // before the module hears of it: from now on nothing new leaves for what drains
+		g.book.SetAddress(s.ID, g.addrs[s.ID])
+		if s.State != logic.Ready {
+			g.book.Withdraw(s.ID)
+		}
+	}
 	for addr := range g.named {
 		if !named[addr] {
 			g.book.Remove(g.ids[addr])
 		}
 	}
 	g.named = named
+	g.post(core.UpstreamGroup{ServerList: list})
 	return nil
 }
 
 // Run follows the files until the context ends. What cannot be read changes nothing: the last good group stays.
 func (g *Group) Run(ctx context.Context) {
-	tick := time.NewTicker(lookEvery)
+	tick := time.NewTicker(g.every)
 	defer tick.Stop()
 	for {
 		select {
@@ -130,7 +140,8 @@
 
 func (g *Group) id(addr string) logic.ServerID {
 	if _, ok := g.ids[addr]; !ok {
-		g.ids[addr] = logic.ServerID(firstID + len(g.ids))
+		id := logic.ServerID(firstID + len(g.ids))
+		g.ids[addr], g.addrs[id] = id, addr
 	}
 	return g.ids[addr]
 }
