Test of what discovery tells after a reload whose first asks are refused, red

Seen red: in a fleet of 80 a limiter sends to a server that drains 4.55 s after SIGHUP and later, in 6 of 8 cases, with a new address and with the old one. Excluded: the agent (it has the list 3.5 s after SIGHUP and gives it to every ask).

--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -295,3 +296,49 @@
 	time.Sleep(2 * window)
 	assert.EqualValues(t, 1, e.calls.Load(), "a repeat that no server drops any more")
 }
+
+// After SIGHUP what discovery has to tell counts 4 s later, in a fleet of any size, also where its new address refuses the first
+// asks, and where the file names the old address.
+func TestWhatDiscoveryTellsAfterAReloadIsKnownInTime(t *testing.T) {
+	t.Parallel()
+	const counts, refusing, grace = 4 * time.Second, 3500 * time.Millisecond, 550 * time.Millisecond
+	for _, same := range []bool{false, true} {
+		for n := range 4 {
+			t.Run(fmt.Sprintf("same address %v/%d", same, n), func(t *testing.T) {
+				t.Parallel()
+				w, left, line := moved(t)
+				var opens atomic.Int64 // when the agent answers, in nanoseconds from its start; it refuses before
+				began := time.Now()
+				refuses := func(list string) *registry {
+					return agent(t, func(_ int, conn net.Conn) {
+						if time.Since(began) >= time.Duration(opens.Load()) {
+							_, _ = conn.Write([]byte(chunked + chunk(list)))
+							until(conn)
+						}
+					})
+				}
+				w.settings = settings()
+				w.settings["balancers"] = 80 // from so many on asks are furthest apart
+				w.registry = refuses(line)
+				opens.Store(int64(time.Hour))
+				l := start(t, w)
+				if !same {
+					w.registry = refuses(line)
+				}
+				raw, err := json.Marshal(w.config())
+				require.NoError(t, err)
+				time.Sleep(time.Duration(n) * 500 * time.Millisecond) // some asks of the old address lie behind
+				told := time.Now()
+				opens.Store(int64(time.Since(began) + refusing))
+				l.reload(raw, "read the configuration anew")
+				time.Sleep(time.Until(told.Add(counts + grace)))
+				before := len(left.seen())
+				for k := range 10 {
+					l.dial().write(command(ask(fmt.Sprintf("late%d", k))...))
+				}
+				time.Sleep(500 * time.Millisecond)
+				assert.Len(t, left.seen(), before, "sent to a server that drains")
+			})
+		}
+	}
+}
