Soak: lives up to the kill, under reloads, standstills, hanging nodes and crowds

Each request is held to its one answer in its time, the told deadline, repeats by its class, refusals, and its client's leaving.

--- /dev/null
+++ b/cmd/bramblefall/soak_test.go
@@ -0,0 +1,353 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/standin"
+)
+
+const (
+	soakSeeds    = 6   // in CI; BRAMBLEFALL_SOAK names how many, BRAMBLEFALL_SEED the first
+	soakAtOnce   = 6   // each has a limiter, some clients and four nodes
+	soakFirst    = 900 // seed
+	soakCrowd    = 300 // idle connections
+	lateBy       = 500 * time.Millisecond
+	soakNoise    = 100 * time.Millisecond // of a busy machine, beside what the terms allow
+	killSlack    = 700 * time.Millisecond
+	longestCount = 3 * time.Second
+)
+
+// soak is one limiter's life up to the kill at the earliest moment that the pages allow, with clients that go on until then.
+type soak struct {
+	*fleet
+	t        *testing.T
+	rng      *rand.Rand
+	seed     uint64
+	deadline time.Duration // of the longer class
+	effect   string        // of the second class
+	hangs    bool          // under mu
+	stop     chan struct{}
+
+	mu       sync.Mutex
+	requests map[string]*soaked
+	findings []string
+}
+
+// soaked is what is known of a request.
+type soaked struct {
+	sent     time.Time
+	wait     time.Duration
+	closed   time.Time // by its client; zero: it stayed
+	answered bool
+	ran      string // the hall where it may have run
+	ranAt    time.Time
+	again    bool // it is safe to repeat
+}
+
+func (s *soak) find(format string, args ...any) {
+	s.findings = append(s.findings, fmt.Sprintf(format, args...))
+}
+
+// handle is a node: it checks what comes and answers by chance.
+func (s *soak) handle(n *standin.Node, args [][]byte) ([]byte, bool, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, now := string(args[2]), time.Now()
+	r := s.requests[id]
+	if r == nil {
+		s.find("%s came to a node and was never sent", id)
+		return []byte("-ERR failed\r\n"), true, 0
+	}
+	if !r.closed.IsZero() && now.Sub(r.closed) > goneAfter+soakNoise {
+		s.find("%s began %v after its client had gone", id, now.Sub(r.closed))
+	}
+	ms, _ := strconv.Atoi(toldDeadline.FindStringSubmatch(string(args[3]))[1])
+	if over := time.Duration(ms)*time.Millisecond - (r.wait - now.Sub(r.sent)); over > deadlineSlack+soakNoise {
+		s.find("%s was told a deadline %v over what its client had left", id, over)
+	}
+	if r.ran != "" && !r.again && (s.effect == "single_shot" || r.ran != n.Hall) {
+		s.find("%s (%s) may have run in %s and came to %s again", id, s.effect, r.ran, n.Hall)
+	}
+	chance := s.rng.Float64()
+	if chance < 0.06 {
+		return []byte("-BUSY\r\n"), false, 0
+	}
+	if r.ran == "" {
+		r.ran, r.ranAt = n.Hall, now
+	}
+	switch {
+	case s.hangs && n.ID < "s-2":
+		return standin.Value(id), true, neverAnswers
+	case chance < 0.12:
+		return []byte("-ERR failed\r\n"), true, 0
+	}
+	return standin.Value(id), true, time.Duration(chance*30) * time.Millisecond
+}
+
+// request words one and notes it. A write that fails may still have been read.
+func (s *soak) request(rng *rand.Rand) (id, words string) {
+	id = fmt.Sprintf("%016x", s.ids.Add(1))
+	args := standin.Command(rng, id)
+	wait := time.Duration(200+rng.IntN(int(s.deadline.Milliseconds())-200)) * time.Millisecond
+	args[3] = toldDeadline.ReplaceAll(args[3], fmt.Appendf(nil, "d=%d", wait.Milliseconds()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests[id] = &soaked{sent: time.Now(), wait: wait, again: string(args[0]) == "Q.ASK"}
+	return id, command(text(args)...)
+}
+
+// answer reads the answer to a request; an error: the connection has ended. Until is when those before it were due: it may wait
+// for them.
+func (s *soak) answer(in *bufio.Reader, id string, until *time.Time) error {
+	line, err := in.ReadString('\n')
+	if err == nil && line[0] == '$' {
+		var value string
+		if value, err = in.ReadString('\n'); err == nil && value != id+"\r\n" {
+			err = fmt.Errorf("served %q", value)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.requests[id]
+	if err != nil {
+		if !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+			s.find("%s: %v", id, err)
+		}
+		return err
+	}
+	r.answered = true
+	if due := r.sent.Add(r.wait); due.After(*until) {
+		*until = due
+	}
+	if late := time.Since(*until); late > lateBy+soakNoise {
+		s.find("%s was answered %v after its time", id, late)
+	}
+	if strings.HasPrefix(line, "-BUSY") && r.ran != "" && !r.again && time.Since(r.ranAt) > soakNoise {
+		s.find("%s may have run and was refused", id)
+	}
+	return nil
+}
+
+// client keeps its connection for as long as the limiter does: some send many requests at once, some in pieces.
+func (s *soak) client(rng *rand.Rand, addr string) {
+	for {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		s.use(rng, conn)
+		_ = conn.Close()
+	}
+}
+
+func (s *soak) use(rng *rand.Rand, conn net.Conn) {
+	in := bufio.NewReader(conn)
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	leaves := rng.IntN(3) == 0
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(time.Duration(max(0, rng.IntN(60)-30)) * time.Millisecond):
+		}
+		ids, ends, all := []string{}, []int{}, ""
+		for range 1 + max(0, rng.IntN(12)-8)*3 {
+			id, words := s.request(rng)
+			all += words
+			ids, ends = append(ids, id), append(ends, len(all))
+		}
+		if at := len(all) / 2; rng.IntN(4) == 0 {
+			if _, err := io.WriteString(conn, all[:at]); err != nil {
+				return
+			}
+			time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+			all = all[at:]
+			s.mu.Lock()
+			for k, id := range ids { // a request's time counts from its last byte
+				if ends[k] > at {
+					s.requests[id].sent = time.Now()
+				}
+			}
+			s.mu.Unlock()
+		}
+		if _, err := io.WriteString(conn, all); err != nil {
+			return
+		}
+		if leaves && rng.IntN(8) == 0 {
+			time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+			_ = conn.Close()
+			s.mu.Lock()
+			for _, id := range ids {
+				s.requests[id].closed = time.Now()
+			}
+			s.mu.Unlock()
+			return
+		}
+		var until time.Time
+		for _, id := range ids {
+			if s.answer(in, id, &until) != nil {
+				return
+			}
+		}
+	}
+}
+
+// signals are sent in a series, the last of them for the end; between some the process stands still for a moment.
+func (s *soak) signals(l *standin.Limiter, told chan<- time.Time) {
+	send := func(signal syscall.Signal) { _ = l.Signal(signal) }
+	pause := func(most int) { time.Sleep(time.Duration(s.chance(most)) * time.Millisecond) }
+	for range s.chance(4) {
+		send(syscall.SIGHUP)
+		pause(40)
+	}
+	for range s.chance(3) {
+		send(syscall.SIGSTOP)
+		pause(150)
+		send(syscall.SIGCONT)
+		pause(100)
+	}
+	s.mu.Lock()
+	s.hangs = s.rng.IntN(3) > 0
+	s.mu.Unlock()
+	pause(100)
+	told <- time.Now()
+	send(syscall.SIGTERM)
+	for range s.chance(3) {
+		pause(500)
+		send([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[s.chance(2)])
+	}
+}
+
+func (s *soak) chance(most int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.IntN(most)
+}
+
+// crowd is idle clients that come again and again.
+func (s *soak) crowd(addr string) {
+	for {
+		for range soakCrowd {
+			if conn, err := net.Dial("tcp", addr); err == nil {
+				defer conn.Close()
+			}
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(300 * time.Millisecond):
+		}
+	}
+}
+
+func (s *soak) live() {
+	s.fleet = startFleet(s.t, 4, func(f *fleet, _ int, config object) {
+		f.args = []string{"-log", "debug"}
+		set := config["settings"].(object)
+		class(set, 0, object{"deadline": s.deadline.Seconds(), "aim": s.deadline.Seconds() / 2})
+		class(set, 1, object{"deadline": s.deadline.Seconds(), "aim": s.deadline.Seconds() / 2, "semantics": s.effect})
+		set["tariffs"] = []object{plan("regular", 1e5, 1e5, 0)}
+	}, nil)
+	for _, n := range s.world.Nodes {
+		n.Handle = s.handle
+	}
+	l := s.limiters[0]
+	crowded := s.seed%3 == 0
+	var clients sync.WaitGroup
+	for k := range 12 {
+		clients.Go(func() { s.client(rand.New(rand.NewPCG(s.seed, uint64(k))), l.Addr) })
+	}
+	if crowded {
+		clients.Go(func() { s.crowd(l.Addr) })
+	}
+	time.Sleep(1100 * time.Millisecond) // no SIGHUP comes in the first second
+	told := make(chan time.Time, 1)
+	clients.Go(func() { s.signals(l, told) })
+	killAt := (<-told).Add(min(s.deadline, longestCount) + killSlack)
+	select {
+	case <-l.Ended:
+	case <-time.After(time.Until(killAt)):
+		s.mu.Lock()
+		s.find("it stays until the kill")
+		s.mu.Unlock()
+		l.Kill()
+	}
+	close(s.stop)
+	clients.Wait()
+	s.judge(l)
+}
+
+// judge looks for what was taken and has no answer.
+func (s *soak) judge(l *standin.Limiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken, answered := 0, 0
+	for _, m := range takenID.FindAllStringSubmatch(l.Log(), -1) {
+		r := s.requests[m[1]]
+		if taken++; r != nil && r.answered {
+			answered++
+		} else if r == nil || r.closed.IsZero() {
+			s.find("%s was taken and has no answer", m[1])
+		}
+	}
+	if code := l.Cmd.ProcessState.ExitCode(); code != 0 {
+		s.find("it ended with %d", code)
+	}
+	if crash := l.Crashed(); crash != "" {
+		s.find("%s", crash)
+	}
+	found, _ := s.world.Audit.Findings()
+	s.findings = append(s.findings, found...)
+	s.t.Logf("seed %d: %d sent, %d taken, %d answered, %d findings", s.seed, len(s.requests), taken, answered, len(s.findings))
+}
+
+// A limiter lives under clients that go on until the kill, reloads, moments in which it stands still, a planned restart with nodes
+// that hang, and sometimes a crowd: whatever it took has its answer, in time, and nothing leaves that must not.
+func TestSoak(t *testing.T) {
+	first, seeds := soakFirst, soakSeeds
+	if text := os.Getenv("BRAMBLEFALL_SOAK"); text != "" {
+		var err error
+		seeds, err = strconv.Atoi(text)
+		require.NoError(t, err)
+	}
+	if text := os.Getenv("BRAMBLEFALL_SEED"); text != "" {
+		var err error
+		first, err = strconv.Atoi(text)
+		require.NoError(t, err)
+	}
+	places := make(chan struct{}, soakAtOnce)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := first; seed < first+seeds; seed++ {
+			t.Run(strconv.Itoa(seed), func(t *testing.T) {
+				t.Parallel()
+				places <- struct{}{}
+				defer func() { <-places }()
+				rng := rand.New(rand.NewPCG(uint64(seed), 1))
+				s := &soak{t: t, rng: rng, seed: uint64(seed), deadline: time.Duration(1+rng.IntN(6)) * time.Second,
+					effect: []string{"guarded", "single_shot"}[rng.IntN(2)], stop: make(chan struct{}), requests: map[string]*soaked{}}
+				s.live()
+				require.Empty(t, s.findings, strings.Join(s.findings, "\n"))
+			})
+		}
+	})
+}
