Connections end behind what their clients have got; interrupted calls are made again

Excluded: TCP_NODELAY (set); the client, which reads within its time. At fault: Outbox closed as soon as the last write returned, closeIdle as soon as the kernel took it, while the peer's window was full; a byte that comes then makes the kernel reset and drop it. Quiet looked at kernel and buffer in turn, and the poller carries bytes from one to the other. Left, Waiting and Say took EINTR or a short write for a word. Change: Conn.Delivered (TIOCOUTQ), a linger of 2 s at most that reads nothing, Conn.Settled and a wait of 5 ms at most for the poller (TCP_INFO's count of bytes against those handed over; where the kernel does not say, as before). Servers' connections pay none of it.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -462,7 +462,7 @@
 // tells whether the connection is being closed. Half: also if a part of a command has come.
 func (c *clientConnection) closeIdle(half bool) bool {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Quiet()
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Delivered() && c.conn.Settled()
 	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -17,6 +17,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,8 @@
 	ended func()
 	late  func([]byte) []byte // nil, or answers what was taken from the kernel and not told before our own end
 	told  bool                // of the end
+
+	handed atomic.Uint64 // bytes, since the connection came up
 }
 
 // Wrap makes a Conn of a connection that a listener has accepted, in its OnPrepare callback.
@@ -93,6 +96,9 @@
 	c.mu.Lock()
 	ours := c.ours
 	c.mu.Unlock()
+	if c.late != nil && ours {
+		c.awaitPoller()
+	}
 	if n := c.raw.Reader().Len(); c.late != nil && ours && n > 0 {
 		if b, err := c.raw.Reader().Next(n); err == nil {
 			c.Say(c.late(b))
@@ -105,8 +111,41 @@
 func (c *Conn) Say(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.over && len(b) > 0 {
-		_, _ = syscall.Write(c.raw.(netpoll.Conn).Fd(), b)
+	for !c.over && len(b) > 0 {
+		n, err := syscall.Write(c.raw.(netpoll.Conn).Fd(), b)
+		if err != nil && err != syscall.EINTR {
+			return
+		}
+		b = b[max(n, 0):]
+	}
+}
+
+// received is how many bytes the kernel has had of the peer, of which waiting are still with it; ok is false where it does not say.
+func (c *Conn) received() (all, waiting uint64, ok bool) {
+	fd := c.raw.(netpoll.Conn).Fd()
+	queued, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+	if err != nil {
+		return 0, 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil || info.Bytes_received == 0 {
+		return 0, 0, false
+	}
+	return info.Bytes_received, uint64(queued), true
+}
+
+const (
+	pollerLimit = 5 * time.Millisecond // for bytes that netpoll's poller has taken and not put into the buffer yet
+	pollerPause = 10 * time.Microsecond
+)
+
+// awaitPoller waits until what the poller has taken is in the buffer. It is called once the poller is told of no more.
+func (c *Conn) awaitPoller() {
+	for until := time.Now().Add(pollerLimit); time.Now().Before(until); time.Sleep(pollerPause) {
+		all, waiting, ok := c.received()
+		if !ok || all <= c.handed.Load()+waiting+uint64(c.raw.Reader().Len()) {
+			return
+		}
 	}
 }
 
@@ -139,6 +178,7 @@
 	if err != nil {
 		return err
 	}
+	c.handed.Add(uint64(n))
 	feed(b)
 	return r.Release()
 }
@@ -150,6 +190,9 @@
 // MayBeWritten.
 func (c *Conn) Write(b []byte) error {
 	_, err := c.raw.Write(b)
+	for errors.Is(err, syscall.EINTR) { // netpoll keeps what it could not send for the next flush
+		_, err = c.raw.Write(nil)
+	}
 	return err
 }
 
@@ -174,6 +217,33 @@
 	return err == syscall.EAGAIN && c.raw.Reader().Len() == 0
 }
 
+// Settled is Quiet for a connection that is about to be ended: it also sees bytes that the poller has taken from the kernel and
+// not put into the buffer yet.
+func (c *Conn) Settled() bool {
+	if !c.Quiet() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over {
+		return false
+	}
+	all, _, ok := c.received()
+	return !ok || all == c.handed.Load()
+}
+
+// Delivered tells whether the peer's machine has got all that was written. Guards against a close over bytes that come meanwhile:
+// the kernel then resets the connection, and what it still holds of the last answers goes with it.
+func (c *Conn) Delivered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.over || !c.raw.IsActive() {
+		return true
+	}
+	left, err := unix.IoctlGetInt(c.raw.(netpoll.Conn).Fd(), unix.TIOCOUTQ)
+	return err != nil || left == 0
+}
+
 // Left tells whether the peer has ended the connection or its sending. It asks the kernel, since netpoll may not have come to
 // it, and sees an end behind bytes that nobody has read yet, too.
 func (c *Conn) Left() bool {
@@ -182,9 +252,18 @@
 	if c.over || !c.raw.IsActive() {
 		return true
 	}
-	polled := []unix.PollFd{{Fd: int32(c.raw.(netpoll.Conn).Fd()), Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(polled, 0)
-	return err == nil && n > 0
+	events, err := poll(c.raw.(netpoll.Conn).Fd(), unix.POLLRDHUP)
+	return err == nil && events != 0
+}
+
+// poll asks the kernel at once what there is of a descriptor, again where a signal comes between.
+func poll(fd int, events int16) (int16, error) {
+	for {
+		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if _, err := unix.Poll(polled, 0); err != unix.EINTR {
+			return polled[0].Revents, err
+		}
+	}
 }
 
 // Abort ends both directions at once, also where a write is under way, and what the kernel still holds of it is not sent once
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -49,8 +49,8 @@
 }
 
 // Bytes that have been taken from the kernel and not been told of yet, as by a poller that is about to: the connection is not
-// quiet, though kernel and buffer have nothing of it.
-func TestBytesOnTheirWayThroughThePollerAreNoQuiet(t *testing.T) {
+// settled, though kernel and buffer have nothing of it.
+func TestBytesOnTheirWayThroughThePollerAreSeen(t *testing.T) {
 	l, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
 	conns := make(chan *Conn, 1)
@@ -65,11 +65,11 @@
 	require.NoError(t, err)
 	defer peer.Close()
 	c := <-conns
-	require.Eventually(t, c.Quiet, 20*time.Second, time.Millisecond)
+	require.Eventually(t, c.Settled, 20*time.Second, time.Millisecond)
 	_, _ = io.WriteString(peer, "taken")
 	require.Eventually(t, func() bool { return c.raw.Reader().Len() == len("taken") }, 20*time.Second, time.Millisecond)
-	require.False(t, c.Quiet(), "in the buffer")
+	require.False(t, c.Settled(), "in the buffer")
 	_, err = c.raw.Reader().Next(len("taken")) // and now nowhere: neither with the kernel, nor in the buffer, nor handed over
 	require.NoError(t, err)
-	require.False(t, c.Quiet(), "on their way")
+	require.False(t, c.Settled(), "on their way")
 }
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -92,9 +92,8 @@
 // Waiting tells whether a connection waits to be accepted.
 func (l *Listener) Waiting() (waits bool) {
 	_ = l.raw.Control(func(fd uintptr) {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		n, err := unix.Poll(polled, 0)
-		waits = err == nil && n > 0 && polled[0].Revents&unix.POLLIN != 0
+		events, err := poll(int(fd), unix.POLLIN)
+		waits = err == nil && events&unix.POLLIN != 0
 	})
 	return waits
 }
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -15,6 +15,8 @@
 const (
 	writeLimit = 5 * time.Second // a flush that takes longer has no reader
 	mostFlush  = 64 << 10        // bytes of one: a slow reader has the limit for each
+	mostLinger = 2 * time.Second // for the peer to get the last of them, before the end
+	lingerLook = time.Millisecond
 )
 
 // ErrFull says that the peer does not read.
@@ -135,9 +137,22 @@
 	}
 	o.flushing = false
 	if o.broken || o.closing {
+		lingers := !o.broken
 		o.broken = true
 		o.forget(len(o.waiting))
-		lastwords.Go(o.conn.Close) // in its own goroutine: close callbacks take their owners' locks
+		lastwords.Go(func() { // in its own goroutine: close callbacks take their owners' locks
+			if lingers {
+				o.linger()
+			}
+			o.conn.Close()
+		})
 	}
 	return !o.broken
 }
+
+// linger waits until the peer has got what was written, within a bound.
+func (o *Outbox) linger() {
+	for until := time.Now().Add(mostLinger); !o.conn.Delivered() && time.Now().Before(until); {
+		time.Sleep(lingerLook)
+	}
+}
