Test: broken connections may have run what they carried, whatever error says so

Held at once: readv of a server's connection failing with ETIMEDOUT, EHOSTUNREACH, ENETUNREACH or ECONNRESET after the request was written ends it as failed for a class that must never run twice; nothing is sent again, and the next request is served.

--- a/cmd/bramblefall/syscalls_test.go
+++ b/cmd/bramblefall/syscalls_test.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,7 +38,7 @@
 	waitKillable   = 1 << 5     // SECCOMP_FILTER_FLAG_WAIT_KILLABLE_RECV
 )
 
-var filtered = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC, unix.SYS_POLL}
+var filtered = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC, unix.SYS_POLL, unix.SYS_READV}
 
 type notification struct {
 	ID    uint64
@@ -293,3 +296,45 @@
 		l.leaves()
 	})
 }
+
+// A connection to a server that breaks with an error other than a reset, once its request is written, may have run it: such a
+// request of a class that must never run twice has failed, is not refused and not sent again. A client's connection that breaks
+// so has gone.
+func TestBrokenConnectionsMayHaveRunWhatTheyCarried(t *testing.T) {
+	t.Parallel()
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNRESET} {
+		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			var fds []uint64 // that were read from: the client's first, then the server's
+			s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+				if args[2] == "01" {
+					_, _ = io.WriteString(conn, "*3\r\n") // the beginning of an answer
+				} else {
+					value("v")(conn, args)
+				}
+			})
+			w := world{settings: class(settings(), 1, object{"semantics": "single_shot"}), servers: []*server{s},
+				fails: func(number int32, fd uint64, _ int) syscall.Errno {
+					mu.Lock()
+					defer mu.Unlock()
+					if number != unix.SYS_READV {
+						return 0
+					}
+					if !slices.Contains(fds, fd) {
+						fds = append(fds, fd)
+					}
+					if len(fds) == 2 && fd == fds[1] {
+						fds = append(fds, ^uint64(0)) // only this once
+						return errno
+					}
+					return 0
+				}}
+			l := start(t, w)
+			c := l.dial()
+			assert.Equal(t, "-ERR failed", c.do(post("01")...))
+			assert.Len(t, s.seen(), 1)
+			assert.Equal(t, "v", c.do(post("02")...))
+		})
+	}
+}
