--- a/internal/discovery/follow_test.go
+++ b/internal/discovery/follow_test.go
@@ -256,3 +256,16 @@
 		require.Error(t, err, bad)
 	}
 }
+
+// A change may be numbered lower than what is known, as by another discovery after a reload: a drain in it holds, and what it
+// calls ready stays as it was.
+func TestADrainInAnOlderChangeHolds(t *testing.T) {
+	book := addresses{}
+	client := New("", logic.Settings{}, book, func(core.Event) {})
+	at := func(id, state string) Server { return Server{ID: id, Addr: "127.0.0.1:1", State: state} }
+	require.NoError(t, client.take(List{Version: 41, Full: true, Servers: []Server{at("s-1", "ready"), at("s-2", "ready")}}, false))
+	require.NoError(t, client.take(List{Version: 42, Servers: []Server{at("s-2", "draining")}}, false))
+	require.Len(t, book, 1)
+	require.NoError(t, client.take(List{Version: 7, Servers: []Server{at("s-1", "draining"), at("s-2", "ready")}}, false))
+	require.Empty(t, book)
+}
