Drains in changes that are numbered lower hold; the log says who was turned away

At fault: Client.take passed over a change with a lower version, to keep older words out; those are kept out by which watch is believed, and what they call ready by stays(). Change: of such a change drains and ends are taken. Beside it a line of the log, once a second at most, says how many client connections were turned away for want of room, which nothing told before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -233,10 +233,11 @@
 func (c *Client) take(l List, cached bool) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !l.Full && l.Version < c.version.Load() {
+		c.onlyDrains(l)
+		return nil
+	}
 	if !l.Full {
-		if l.Version < c.version.Load() {
-			return nil // an older change than what is known
-		}
 		more := 0
 		for _, s := range l.Servers {
 			if _, ok := c.listed[s.ID]; !ok && states[s.State] != logic.Gone {
@@ -269,9 +270,17 @@
 func (c *Client) salvage(l List) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if l.Version >= c.version.Load() {
+		c.onlyDrains(l)
+	}
+}
+
+// onlyDrains passes on what a list says of servers that drain or are gone. Guards against a change of another count of versions,
+// as behind a reload, that is passed over because it looks older than what is known.
+func (c *Client) onlyDrains(l List) {
 	l.Full = false
 	l.Servers = slices.DeleteFunc(l.Servers, func(s Server) bool { return states[s.State] == logic.Ready })
-	if l.Version >= c.version.Load() && len(l.Servers) > 0 {
+	if len(l.Servers) > 0 {
 		c.pass(l, false)
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -43,9 +43,10 @@
 
 	answerWork = 2 * time.Millisecond // of processor time before an answer goes out: a collection of garbage takes so much
 
-	sweepEvery = 250 * time.Millisecond
-	firstWord  = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
-	longIdle   = 20 * time.Second        // between commands
+	turnedEvery = time.Second
+	sweepEvery  = 250 * time.Millisecond
+	firstWord   = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
+	longIdle    = 20 * time.Second        // between commands
 
 	crowded      = time.Second // when to come back where too much is in hand
 	aboutToSpeak = time.Second
@@ -79,6 +80,9 @@
 	traced   bool         // each request is logged by its id: off in service
 	numbers  atomic.Uint64
 
+	turned     atomic.Int64 // connections for which there was no room, since the log said so
+	toldTurned time.Time    // by Run alone
+
 	mu      sync.Mutex // taken before a client connection's, never inside it
 	clients map[*clientConnection]struct{}
 	entered int // connections that have been among the clients
@@ -142,6 +146,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
+			f.tellTurned(now)
 			for _, c := range f.all() {
 				c.tend(now)
 			}
@@ -208,7 +213,22 @@
 // is closed before anybody reads from it, so that its client is sure that nothing was taken.
 func (f *Front) room() bool {
 	n := f.Clients()
-	return n <= f.most || n <= f.most+mostClosing && f.evict()
+	if n <= f.most || n <= f.most+mostClosing && f.evict() {
+		return true
+	}
+	f.turned.Add(1)
+	return false
+}
+
+// tellTurned says in the log how many connections were turned away since it said so last.
+func (f *Front) tellTurned(now time.Time) {
+	if now.Sub(f.toldTurned) < turnedEvery {
+		return
+	}
+	if n := f.turned.Swap(0); n > 0 {
+		f.toldTurned = now
+		slog.Warn("client connections turned away unread: no room", "connections", n, "room", f.most)
+	}
 }
 
 // evict closes the client connection that has been idle longest, those first that have been silent since they came
