RESP2 front: its file of 740 lines becomes front, connection and request

Change: pure moves and names (commandTimeout for firstWord, readingEndedAt for deafAt and the like); each file has its constants. No behaviour changes.

--- /dev/null
+++ b/internal/platform/connection.go
@@ -0,0 +1,318 @@
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramblefall/internal/core"
+	"bramblefall/internal/resp"
+	"bramblefall/internal/socket"
+)
+
+const (
+	waitingLimit = 1024    // commands on one connection without an answer yet; what comes beyond is refused in its turn
+	refusedLimit = 8 << 10 // of these at once: who sends more does not read
+	errorLimit   = 64      // of one connection: who sends nothing else is not worth it
+
+	commandTimeout     = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
+	idleTimeout        = 20 * time.Second        // between commands
+	newConnectionGrace = time.Second             // in which a new connection is about to bring its first command
+	partialGrace       = 100 * time.Millisecond  // for the rest of a command, where others have no room
+	endTimeout         = 2 * time.Second         // for what waits before the end of a connection that cannot be read
+)
+
+// idleness is how little a client connection is used.
+type idleness struct {
+	of         *clientConnection
+	is, active bool // nothing is owed on it; it has brought a whole command
+	half       bool // nothing is owed on it but the answer to a command whose rest does not come
+	since      time.Time
+}
+
+// trace logs what becomes of a connection or of a request on it, so that one can be followed by its id.
+func (c *clientConnection) trace(what string, words ...any) {
+	if c.front.traced {
+		slog.Debug(what, append(words, "on", c.number)...)
+	}
+}
+
+// clientConnection is one connection of a client.
+type clientConnection struct {
+	front  *Front
+	number uint64 // in the log
+	conn   *socket.Conn
+	out    *socket.Outbox
+	parser resp.Parser // owned by the reading side
+
+	mu             sync.Mutex
+	slots          []*slot             // commands whose answers are due, in their order
+	waiting        map[uint64]*request // request contexts without an answer
+	partial        bool                // a command has come in part
+	reading        bool                // bytes are taken and not handled yet
+	active         bool                // a whole one has come
+	errors         int
+	refusing       atomic.Bool // it has sent too many errors: what it sends is refused, and it ends once nothing is owed on it
+	usedAt         time.Time
+	partialSince   time.Time // since when a command has come in part
+	readingEndedAt time.Time // since when nothing more is read
+	gone           bool
+	ending         bool // framing is lost, or the client asked for the end: nothing more is read
+	left           bool // it was idle, and is being closed: what had been taken from the kernel by then is refused
+}
+
+// slot keeps the place of a command's answer: a slow one holds back those behind it.
+type slot struct {
+	answer  []byte
+	done    bool
+	last    bool // the connection closes after it
+	refused int  // commands behind it that are turned away, since too many were waiting
+}
+
+// ready is told when bytes have come.
+func (c *clientConnection) ready() {
+	now := time.Now()
+	c.mu.Lock()
+	ending, left := c.ending, c.left
+	c.reading = true
+	c.mu.Unlock()
+	if left {
+		_ = c.conn.TakeSome(func(b []byte) { c.conn.Say(c.late(b)) })
+		return
+	}
+	handled := c.read(ending, now)
+	c.mu.Lock()
+	c.reading = false
+	// Each command has its own wait: a client may send without a pause in pieces that end in the middle of one.
+	if partial := c.parser.Buffered() > 0; partial != c.partial || handled > 0 {
+		c.partial, c.partialSince = partial, now
+	}
+	c.mu.Unlock()
+	c.leave() // what was read may have been answered already
+}
+
+// late answers the commands in bytes that had been taken from the kernel when an idle connection was closed. Guards against a
+// request that is read and has no answer: its client sends again only what was not read.
+func (c *clientConnection) late(b []byte) (answers []byte) {
+	c.mu.Lock()
+	left := c.left
+	c.mu.Unlock()
+	if !left {
+		return nil
+	}
+	c.parser.Feed(b)
+	for {
+		args, ok, err := c.parser.Command()
+		if !ok || err != nil {
+			return answers
+		}
+		if len(args) > 0 {
+			c.trace("refused behind the end")
+			answers = appendBusy(answers, core.Elsewhere(c.front.set))
+		}
+	}
+}
+
+// read takes the bytes that have come, handles the commands that are whole and counts them. When the connection is ending it
+// only makes room for more.
+func (c *clientConnection) read(ending bool, now time.Time) (handled int) {
+	err := c.conn.TakeSome(func(b []byte) {
+		if !ending {
+			c.parser.Feed(b)
+		}
+	})
+	for err == nil && !ending {
+		args, ok, err := c.parser.Command()
+		if err != nil {
+			c.refuse(err.Error(), true)
+			return handled
+		}
+		if !ok {
+			return handled
+		}
+		handled++
+		ending = c.command(args, now)
+	}
+	return handled
+}
+
+// command handles one command. It tells whether the connection ends with it.
+func (c *clientConnection) command(args [][]byte, now time.Time) (last bool) {
+	if len(args) == 0 {
+		return false // as servers of this protocol do, an empty array is passed over
+	}
+	if c.refusing.Load() {
+		return c.reply(appendBusy(nil, core.Elsewhere(c.front.set)), false)
+	}
+	switch name := string(bytes.ToUpper(args[0])); name {
+	case "Q.ASK", "Q.DO":
+		return c.take(name, args, now)
+	case "PING":
+		return c.reply([]byte("+PONG\r\n"), false)
+	case "CLIENT", "SELECT":
+		return c.reply([]byte("+OK\r\n"), false)
+	case "QUIT":
+		return c.reply([]byte("+OK\r\n"), true)
+	default:
+		return c.refuse("unknown command", false)
+	}
+}
+
+// refuse answers what cannot be used. It tells whether the connection ends with it.
+func (c *clientConnection) refuse(why string, last bool) bool {
+	c.mu.Lock()
+	c.errors++
+	if c.errors >= errorLimit {
+		c.refusing.Store(true)
+	}
+	c.mu.Unlock()
+	return c.reply([]byte("-ERR "+why+"\r\n"), last)
+}
+
+// place adds the slot of a command's answer. Nil if the client waits for too many: a client that only writes must not fill
+// the memory, and those that were taken before must not be lost. The command is refused behind them; over tells that the
+// client sends on all the same: nothing more is read, and the connection ends behind the answers that are due.
+func (c *clientConnection) place() (s *slot, over bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.usedAt, c.active = time.Now(), true
+	if len(c.slots) < waitingLimit {
+		s = &slot{}
+		c.slots = append(c.slots, s)
+		return s, false
+	}
+	last := c.slots[len(c.slots)-1]
+	if last.refused++; last.refused > refusedLimit {
+		last.last = true
+		c.ending, c.readingEndedAt = true, time.Now()
+		return nil, true
+	}
+	return nil, false
+}
+
+// reply answers a command at once, behind the answers that are due before. It tells whether the connection ends with it.
+func (c *clientConnection) reply(answer []byte, last bool) bool {
+	s, over := c.place()
+	if s == nil {
+		return over
+	}
+	s.last = last
+	c.fill(s, answer)
+	return last
+}
+
+// fill puts an answer in its slot and writes what is due now.
+func (c *clientConnection) fill(s *slot, answer []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.answer, s.done = answer, true
+	if s.last && !c.ending {
+		c.ending, c.readingEndedAt = true, time.Now()
+	}
+	for len(c.slots) > 0 && c.slots[0].done {
+		s := c.slots[0]
+		c.slots[0] = nil
+		if c.slots = c.slots[1:]; c.gone {
+			continue
+		}
+		c.write(s.answer)
+		c.out.Insist(bytes.Repeat(c.front.busyAnswer, s.refused))
+		if s.last {
+			c.out.CloseAfter()
+		}
+	}
+	c.usedAt = time.Now()
+}
+
+// write queues an answer. Where its client does not read, and no more of a value may wait for it, the request has failed.
+func (c *clientConnection) write(answer []byte) {
+	if errors.Is(c.out.Write(answer), socket.ErrFull) {
+		c.out.Insist([]byte(failure))
+	}
+}
+
+func (c *clientConnection) idle() idleness {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	free := len(c.slots) == 0
+	return idleness{c, free && !c.partial, c.active, free && c.partial && time.Since(c.partialSince) > partialGrace, c.usedAt}
+}
+
+// closeIdle closes the connection if nothing is owed on it. Guards against a command that comes meanwhile: up to the
+// last moment the kernel is asked for one, and what comes after that is not read, so that its client sends it again. It
+// tells whether the connection is being closed. Half: also if a part of a command has come.
+func (c *clientConnection) closeIdle(half bool) bool {
+	c.mu.Lock()
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Delivered() && c.conn.Settled()
+	c.ending, c.left = c.ending || idle, c.left || idle
+	c.mu.Unlock()
+	if idle {
+		c.trace("idle client connection closed")
+		c.conn.Close()
+	}
+	return idle
+}
+
+// leave closes the connection at a planned restart if nothing is owed on it. One that has just come is about to speak.
+func (c *clientConnection) leave() {
+	if c.refusing.Load() {
+		c.closeIdle(false)
+		return
+	}
+	if !c.front.leaving.Load() {
+		return
+	}
+	if i := c.idle(); i.is && (i.active || time.Since(i.since) > newConnectionGrace) {
+		c.closeIdle(false)
+	}
+}
+
+// tend ends what a client keeps open without a word: a connection that brings no whole command, or not the rest of
+// one, and one that nobody uses any more. Guards the descriptors; such a client is owed an end in time.
+func (c *clientConnection) tend(now time.Time) {
+	c.mu.Lock()
+	part, ending := c.partial && !c.ending && now.Sub(c.partialSince) >= commandTimeout, c.ending && now.Sub(c.readingEndedAt) >= endTimeout
+	c.mu.Unlock()
+	switch i := c.idle(); {
+	case ending:
+		c.abandon()
+	case part:
+		c.refuse("the rest of the command did not come", true)
+	case i.is && (!i.active && now.Sub(i.since) >= commandTimeout || now.Sub(i.since) >= idleTimeout):
+		c.closeIdle(false)
+	}
+}
+
+// abandon gives up what waits before the end of a connection that cannot be read any more: the error is due.
+func (c *clientConnection) abandon() {
+	c.mu.Lock()
+	waiting := make([]*request, 0, len(c.waiting))
+	for _, r := range c.waiting {
+		waiting = append(waiting, r)
+	}
+	c.mu.Unlock()
+	for _, r := range waiting {
+		c.front.owner.Post(core.ClientGone{ID: r.id})
+		r.Failed()
+	}
+}
+
+// closed tells the owner of the request contexts that nobody waits for any more.
+func (c *clientConnection) closed() {
+	c.front.mu.Lock()
+	delete(c.front.clients, c)
+	c.front.mu.Unlock()
+	c.mu.Lock()
+	c.gone = true
+	waiting := c.waiting
+	c.waiting = nil
+	c.mu.Unlock()
+	c.trace("client connection over", "waiting", len(waiting), "unwritten", !c.out.Empty())
+	for id, r := range waiting {
+		c.front.release(r)
+		c.front.owner.Post(core.ClientGone{ID: id})
+	}
+}
