--- a/cmd/bramblefall/upstream_test.go
+++ b/cmd/bramblefall/upstream_test.go
@@ -28,6 +28,8 @@
 	}{
 		"turned away":         {first: says("-BUSY\r\n"), elsewhere: "v"},
 		"turned away, load":   {first: says("-BUSY inflight=7,queue=2,util=0.61\r\n"), elsewhere: "v"},
+		"turned away, spoilt": {first: says("-BUSYBODY\r\n"), elsewhere: "-ERR failed"},
+		"turned away, noise":  {first: says("-BUSY \x00\xff\r\n"), elsewhere: "-ERR failed"},
 		"refused connection":  {down: true, elsewhere: "v"},
 		"error":               {first: says("-ERR failed\r\n"), elsewhere: "-ERR failed"},
 		"reset":               {first: reset, elsewhere: "-ERR failed"},
