Only -BUSY itself, with or without a load report, proves that nothing ran

At fault: Pool.failure looked at the first four letters. Change: the line is BUSY, or BUSY and a word with '='; anything else is an error, which may have run.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -487,14 +487,16 @@
 
 func (p *Pool) failure(text []byte) core.Outcome {
 	o := core.Outcome{Status: logic.Error}
-	if bytes.HasPrefix(text, []byte("BUSY")) {
-		o.Status = logic.Full
-	}
-	if bytes.HasPrefix(text, []byte("SYNTAX")) {
-		slog.Error("a server could not read a command of ours", "answer", string(text))
-	}
+	words := text
 	if at := bytes.LastIndexByte(text, ' '); at >= 0 && bytes.IndexByte(text[at:], '=') >= 0 {
+		words = text[:at]
 		o.Load = wire.Load(string(text[at+1:]), p.fields)
 	}
+	switch {
+	case string(words) == "BUSY": // nothing else proves that it never ran: spoilt answers may begin like this
+		o.Status = logic.Full
+	case bytes.HasPrefix(text, []byte("SYNTAX")):
+		slog.Error("a server could not read a command of ours", "answer", string(text))
+	}
 	return o
 }
