--- a/internal/counter/set_test.go
+++ b/internal/counter/set_test.go
@@ -222,3 +222,22 @@
 		})
 	}
 }
+
+// A counter that ends each connection as it comes is not connected to again and again without a pause.
+func TestAConnectionThatEndsAtOnceIsNotMadeAgainAtOnce(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	var conns atomic.Int64
+	go func() {
+		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+			conns.Add(1)
+			_ = conn.Close()
+		}
+	}()
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	New(l.Addr().String(), 32, func(core.Event) {}, func() time.Duration { return 0 }).Run(ctx)
+	require.LessOrEqual(t, conns.Load(), int64(time.Second/redialEvery)+1)
+}
