A counter's connection that ended at once is made again after the usual wait

Seen: 321 connections in a second to a counter that ends each 1 ms after it came up. At fault: Client.dial dropped the wait as soon as one was up. Change: the wait is dropped when a connection ends that had stood for longer than it.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -50,6 +50,7 @@
 	buf    []byte // owned by the reading side
 	sent   []call
 	ended  bool
+	made   time.Time
 	wrote  time.Time
 	heard  time.Time
 }
@@ -164,9 +165,8 @@
 	}
 	waiting := c.waiting
 	c.waiting = nil
-	c.dialed = time.Time{} // it is there: if this connection breaks, the next is made at once
 	slog.Info("connected to the counter", "addr", addr)
-	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn, nil, nil), wrote: time.Now()}
+	l := &link{client: c, addr: addr, conn: conn, out: socket.NewOutbox(conn, nil, nil), made: time.Now(), wrote: time.Now()}
 	c.replace(l)
 	conn.Serve(l.onRequest, l.closed)
 	for _, e := range waiting {
@@ -216,6 +216,9 @@
 	}
 	l.ended = true
 	l.client.set.open.Add(-1)
+	if time.Since(l.made) > redialEvery { // it stood: the next is made at once
+		l.client.dialed = time.Time{}
+	}
 	switch l {
 	case l.client.link:
 		l.client.link = nil
--- a/internal/counter/set_test.go
+++ b/internal/counter/set_test.go
@@ -233,6 +233,7 @@
 	go func() {
 		for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
 			conns.Add(1)
+			time.Sleep(time.Millisecond) // the dial has come about
 			_ = conn.Close()
 		}
 	}()
