--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -366,3 +367,29 @@
 	}
 	require.Equal(t, "+OK", c.answer())
 }
+
+// A caller cancels while the process stands still, with its call unread before it: nothing of the call leaves.
+func TestNothingLeavesForACallerThatCancelledAStoppedProcess(t *testing.T) {
+	t.Parallel()
+	o := &others{answer: verdictOf(within)}
+	l := start(t, world{second: second(t, o.listen(t))})
+	s := l.service()
+	_, err := s.ShouldRateLimit(inTime(t), call(of("1")))
+	require.NoError(t, err)
+	for round := range 10 {
+		l.stopped(10*time.Millisecond, func() {
+			var callers sync.WaitGroup
+			for range 5 {
+				callers.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+					defer cancel()
+					_, _ = s.ShouldRateLimit(ctx, call(of("1")))
+				})
+			}
+			callers.Wait()
+			time.Sleep(2 * goneAfter)
+		})
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, 1, o.calls(), "round %d", round)
+	}
+}
--- a/cmd/bramblefall/wallclock_test.go
+++ b/cmd/bramblefall/wallclock_test.go
@@ -161,3 +161,24 @@
 	}
 	return most
 }
+
+// A plan comes into force at its instant by the wall clock, also where that is reached by a step.
+func TestAStepOfTheWallClockBringsAPlanIntoForce(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	clock, socket := newWallClock(t), filepath.Join(dir, "admin.sock")
+	start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, clock: clock,
+		operator: script(t, filepath.Join(dir, "operator.star"), fmt.Sprintf("bramblefall(admin = admin(socket = %q))\n", socket))})
+	effective := fmt.Sprintf("effective = time(%q),", clock.now().Add(30*time.Minute).UTC().Format(time.RFC3339))
+	cli(t, 0, "plans", "apply", script(t, filepath.Join(dir, "1.star"), versionFile(1, effective, "rate = 100, burst = 50")), "--socket", socket)
+	list := func() string {
+		out, _ := cli(t, 0, "plans", "list", "--socket", socket)
+		return out
+	}
+	require.Regexp(t, `1 +to come`, list())
+	clock.step(time.Hour)
+	require.Eventually(t, func() bool { return strings.Contains(list(), "in force") && !strings.Contains(list(), "to come") }, patience, 50*time.Millisecond)
+	clock.step(-time.Hour)
+	time.Sleep(100 * time.Millisecond)
+	require.NotContains(t, list(), "to come", "what has come into force stays so")
+}
