--- a/cmd/bramblefall/syscalls_test.go
+++ b/cmd/bramblefall/syscalls_test.go
@@ -338,3 +338,30 @@
 		})
 	}
 }
+
+// Dials that fail for half a second at the start let nobody in by an old list: discovery is asked again at once, in a fleet of any
+// size.
+func TestDialsThatFailAtTheStartDelayNoList(t *testing.T) {
+	t.Parallel()
+	w, left, line := moved(t)
+	w.settings = settings()
+	w.settings["balancers"] = 80
+	w.registry = agent(t, func(_ int, conn net.Conn) {
+		_, _ = conn.Write([]byte(chunked + chunk(line)))
+		until(conn)
+	})
+	var first atomic.Int64
+	began := time.Now()
+	w.fails = func(number int32, _ uint64, _ int) syscall.Errno {
+		if number != unix.SYS_CONNECT {
+			return 0
+		}
+		first.CompareAndSwap(0, int64(time.Since(began)))
+		if time.Since(began)-time.Duration(first.Load()) < 500*time.Millisecond {
+			return syscall.EADDRNOTAVAIL
+		}
+		return 0
+	}
+	assert.Equal(t, "new", start(t, w).dial().do(ask("01")...))
+	assert.Empty(t, left.seen())
+}
