--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -223,7 +223,8 @@
 
 func (p *pulse) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	// The standard library's connections: net/http closes one while it reads from it, which netpoll's do not bear.
-	conn, err := socket.RetryDial(ctx, func() (net.Conn, error) {
+	// Guards against a failure of a moment that is taken for discovery's refusal: the next ask could be seconds away.
+	conn, err := socket.RetryDial(ctx, dialLimit, func() (net.Conn, error) {
 		return (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, network, addr)
 	})
 	if err != nil {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	raw, err := RetryDial(ctx, func() (*netpoll.TCPConnection, error) {
+	raw, err := RetryDial(ctx, DialPauses, func() (*netpoll.TCPConnection, error) {
 		return netpoll.DialTCP(ctx, "tcp", nil, &netpoll.TCPAddr{TCPAddr: *at})
 	})
 	if err != nil {
--- a/internal/socket/momentary.go
+++ b/internal/socket/momentary.go
@@ -12,7 +12,7 @@
 
 const (
 	firstPause  = 2 * time.Millisecond // between two tries of a call that failed for a moment; doubled each time
-	dialPauses  = 64 * time.Millisecond
+	lastPause   = 64 * time.Millisecond
 	startPauses = 5 * time.Second
 	acceptPause = time.Millisecond
 	acceptLog   = time.Second // between two lines of the log on failing accepts
@@ -37,7 +37,7 @@
 // retry makes a call again while it fails for a moment, with pauses that add up to less than the limit.
 func retry(ctx context.Context, limit time.Duration, call func() error) error {
 	pause := firstPause
-	for until := time.Now().Add(limit); ; pause *= 2 {
+	for until := time.Now().Add(limit); ; pause = min(2*pause, lastPause) {
 		err := call()
 		if err == nil || !momentary(err) || ctx.Err() != nil || time.Now().Add(pause).After(until) {
 			return err
@@ -46,10 +46,13 @@
 	}
 }
 
-// RetryDial makes a connection, again while that fails for a moment. Guards against a peer that is blamed for it, and against
-// news of discovery that comes a whole wait later.
-func RetryDial[C any](ctx context.Context, dial func() (C, error)) (conn C, err error) {
-	err = retry(ctx, dialPauses, func() error {
+// DialPauses is how long a dial that fails for a moment is made again where another peer could be asked instead.
+const DialPauses = 64 * time.Millisecond
+
+// RetryDial makes a connection, again while that fails for a moment, with pauses that add up to less than the limit. Guards
+// against a peer that is blamed for it.
+func RetryDial[C any](ctx context.Context, limit time.Duration, dial func() (C, error)) (conn C, err error) {
+	err = retry(ctx, limit, func() error {
 		conn, err = dial()
 		return err
 	})
