--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -393,3 +393,27 @@
 		require.Equal(t, 1, o.calls(), "round %d", round)
 	}
 }
+
+// More requests than the pool has connections for: none is refused for that while there is time, and none blames a server.
+func TestAFullPoolRefusesNobody(t *testing.T) {
+	t.Parallel()
+	const requests = 60 // 32 connections to servers fit in 128 descriptors, and four servers bear 48 attempts at first
+	var servers []*server
+	for n := range 4 {
+		servers = append(servers, newServer(t, fmt.Sprintf("s-%d", n), "hall-a", func(conn net.Conn, args []string) {
+			time.Sleep(200 * time.Millisecond)
+			value("v")(conn, args)
+		}))
+	}
+	l := start(t, world{servers: servers})
+	c := l.dial()
+	var all strings.Builder
+	for n := range requests {
+		all.WriteString(command(ask(fmt.Sprintf("%04x", n))...))
+	}
+	c.write(all.String())
+	for n := range requests {
+		require.Equal(t, "v", c.answer(), "request %d", n)
+	}
+	assert.NotContains(t, l.log.String(), "left out")
+}
