--- a/cmd/bramblefall/soak_test.go
+++ b/cmd/bramblefall/soak_test.go
@@ -307,7 +307,7 @@
 		if taken++; r != nil && r.answered {
 			answered++
 		} else if r == nil || r.closed.IsZero() {
-			s.find("%s was taken and has no answer", m[1])
+			s.find("%s was taken and has no answer; of its connection the log says:\n%s", m[1], ofItsConnection(l.Log(), m[1]))
 		}
 	}
 	if code := l.Cmd.ProcessState.ExitCode(); code != 0 {
@@ -321,6 +321,24 @@
 	s.t.Logf("seed %d: %d sent, %d taken, %d answered, %d findings", s.seed, len(s.requests), taken, answered, len(s.findings))
 }
 
+// ofItsConnection is what the log says of the connection of a request, and of its tries.
+func ofItsConnection(log, id string) string {
+	var context, on, said string
+	for line := range strings.Lines(log) {
+		if strings.Contains(line, "id="+id+" ") {
+			context, _, _ = strings.Cut(line[max(0, strings.Index(line, "context=")):], " ")
+			on = strings.TrimSpace(line[strings.LastIndex(line, "on="):])
+			break
+		}
+	}
+	for line := range strings.Lines(log) {
+		if on != "" && strings.HasSuffix(strings.TrimSpace(line), on) || context != "" && strings.Contains(line, context+" ") || strings.Contains(line, "draining") {
+			said += line
+		}
+	}
+	return said
+}
+
 // A limiter lives under clients that go on until the kill, reloads, moments in which it stands still, a planned restart with nodes
 // that hang, and sometimes a crowd: whatever it took has its answer, in time, and nothing leaves that must not.
 func TestSoak(t *testing.T) {
--- a/cmd/bramblefall/syscalls_test.go
+++ b/cmd/bramblefall/syscalls_test.go
@@ -93,11 +93,10 @@
 		cmd.Env = os.Environ()
 	}
 	cmd.Env = append(cmd.Env, filterVariable+"=1")
-	t.Cleanup(func() { _ = ours.Close() })
+	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
 	go func() {
 		rights := make([]byte, unix.CmsgSpace(4))
 		_, n, _, _, err := unix.Recvmsg(pair[0], make([]byte, 1), rights, unix.MSG_CMSG_CLOEXEC)
-		_ = theirs.Close()
 		if err != nil {
 			return
 		}
--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -417,3 +417,38 @@
 	}
 	assert.NotContains(t, l.log.String(), "left out")
 }
+
+// A client that sends its next request the moment it has an answer keeps no connection open over a planned restart: it ends right
+// behind an answer, soon after the limiter stops to keep connections, and no request that was read goes without one.
+func TestAClientThatSendsOnAtOnceIsLetGoAtAPlannedRestart(t *testing.T) {
+	t.Parallel()
+	const clients, soon = 8, 1500 * time.Millisecond // they stop to be kept 0.45 s after SIGTERM
+	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}})
+	var told atomic.Int64
+	began := time.Now()
+	var all sync.WaitGroup
+	for k := range clients {
+		c := l.dial()
+		all.Go(func() {
+			for n := 0; ; n++ {
+				_, err := io.WriteString(c.conn, command(ask(fmt.Sprintf("%d-%d", k, n))...))
+				if err == nil {
+					_, err = c.in.ReadString('\n')
+				}
+				if err == nil {
+					_, err = c.in.Peek(1)
+				}
+				if err != nil {
+					assert.Less(t, time.Since(began)-time.Duration(told.Load()), soon, "client %d", k)
+					return
+				}
+				_, _ = c.in.ReadString('\n')
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	told.Store(int64(time.Since(began)))
+	l.terminate()
+	all.Wait()
+	l.leaves()
+}
