A connection with too many errors ends behind its answers, however fast its client sends

Seen by reading the whole change: since 64 errors no longer cut a connection off, a client that sends on without a pause never leaves the moment that closeIdle waits for, and keeps the connection and the processor. Change: it ends as at a planned restart, also in the middle of a command; what is read behind the end is refused, and not answered any more where 256 KiB wait unread. Tests of bad clients, floods, restarts, the soak pass.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -81,6 +81,9 @@
 	c.mu.Unlock()
 	if left {
 		_ = c.conn.TakeSome(func(b []byte) {
+			if c.out.Backlogged() {
+				return // its client sends on and reads nothing
+			}
 			if answers := c.late(b); !c.out.Insist(answers) {
 				c.conn.Say(answers)
 			}
@@ -260,25 +263,27 @@
 	return idle
 }
 
-// leave closes the connection at a planned restart if nothing is owed on it. One that has just come is about to speak.
+// leave ends the connection if nothing is owed on it, at a planned restart or where it brought too many errors. One that has
+// just come is about to speak.
 func (c *clientConnection) leave() {
 	if c.refusing.Load() {
-		c.closeIdle(false)
+		c.endIdle(true)
 		return
 	}
 	if !c.front.leaving.Load() {
 		return
 	}
 	if i := c.idle(); i.is && (i.active || time.Since(i.since) > newConnectionGrace) {
-		c.endIdle()
+		c.endIdle(false)
 	}
 }
 
 // endIdle ends the connection behind the answers that are queued, if nothing more is owed on it. What its client sends from now
-// on is refused if it is read, and not read otherwise: a client that sends on at once keeps no connection open.
-func (c *clientConnection) endIdle() {
+// on is refused if it is read, and not read otherwise: a client that sends on at once keeps no connection open. Half: also if a
+// part of a command has come.
+func (c *clientConnection) endIdle(half bool) {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending
 	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
