--- a/cmd/bramblefall/restart_test.go
+++ b/cmd/bramblefall/restart_test.go
@@ -34,7 +34,12 @@
 // restart's waits are over: the process stood still.
 func TestAPlannedRestartTakesWhatStandsInTheQueue(t *testing.T) {
 	t.Parallel()
-	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}})
+	start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}}).answersItsQueue()
+}
+
+// answersItsQueue ends the limiter and stops it while clients come whose requests stand in its queue when it goes on.
+func (l *limiter) answersItsQueue() {
+	l.t.Helper()
 	l.terminate()
 	l.says("msg=draining")
 	clients := make([]*client, 24) // its share of the descriptors is 32
@@ -45,7 +50,7 @@
 		}
 	})
 	for k := range clients {
-		assert.Equal(t, "v", clients[k].answer(), "request %d", k)
+		assert.Equal(l.t, "v", clients[k].answer(), "request %d", k)
 	}
 	l.leaves()
 }
--- a/cmd/bramblefall/syscalls_test.go
+++ b/cmd/bramblefall/syscalls_test.go
@@ -279,20 +279,7 @@
 	})
 	t.Run("does a connection wait", func(t *testing.T) {
 		t.Parallel()
-		l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, fails: interrupted()})
-		l.terminate()
-		l.says("msg=draining")
-		clients := make([]*client, 24)
-		l.stopped(time.Second, func() {
-			for k := range clients {
-				clients[k] = l.dial()
-				clients[k].write(command(ask(fmt.Sprintf("%02x", k+1))...))
-			}
-		})
-		for k := range clients {
-			assert.Equal(t, "v", clients[k].answer(), "request %d", k)
-		}
-		l.leaves()
+		start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value("v"))}, fails: interrupted()}).answersItsQueue()
 	})
 }
 
