Test: clients that never read make room for others, red

Seen red, found by reading the whole change: since an idle connection has to be sent empty before it is closed, clients that never read hold the descriptors for as long as they like.

--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -452,3 +452,31 @@
 	all.Wait()
 	l.leaves()
 }
+
+// Clients that never read what they were answered keep no room for good: after some seconds they make room for others.
+func TestClientsThatDoNotReadMakeRoom(t *testing.T) {
+	t.Parallel()
+	const room = 32 // clients, of 128 descriptors
+	large := strings.Repeat("p", 64<<10)
+	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value(large))}})
+	for n := range room {
+		c := l.dial()
+		require.NoError(t, c.conn.(*net.TCPConn).SetReadBuffer(4<<10))
+		c.write(command(ask(fmt.Sprintf("%02x", n))...))
+		require.Equal(t, byte('$'), first(c), "client %d", n)
+	}
+	time.Sleep(5500 * time.Millisecond) // an answer that nobody has read by then is given up
+	require.Eventually(t, func() bool {
+		c := l.dial()
+		_, _ = io.WriteString(c.conn, command("PING"))
+		line, _ := c.in.ReadString('\n')
+		return line == "+PONG\r\n"
+	}, patience/4, 50*time.Millisecond)
+}
+
+// first is the first byte of an answer of which the rest is not read.
+func first(c *client) byte {
+	b, err := c.in.ReadByte()
+	require.NoError(c.t, err)
+	return b
+}
