Idle clients that read nothing for 5 s make room for others

At fault: closeIdle passed over every connection of which the kernel held something. Change: not for longer than 5 s, as long as an outbox waits for a reader.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -23,6 +23,7 @@
 	newConnectionGrace = time.Second             // in which a new connection is about to bring its first command
 	partialGrace       = 100 * time.Millisecond  // for the rest of a command, where others have no room
 	endTimeout         = 2 * time.Second         // for what waits before the end of a connection that cannot be read
+	unsentTimeout      = 5 * time.Second         // for a client to read its last answer
 )
 
 // idleness is how little a client connection is used.
@@ -253,7 +254,8 @@
 // tells whether the connection is being closed. Half: also if a part of a command has come.
 func (c *clientConnection) closeIdle(half bool) bool {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Sent() && c.conn.Settled()
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Settled()
+	idle = idle && (c.conn.Sent() || time.Since(c.usedAt) > unsentTimeout)
 	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
