Test: limiters that run through steps of the clock grant nothing twice, red

Seen red: a reservation of 64 units is drawn twice where the wall clock steps back by 3 minutes, since a limiter that had not leased yet begins the other generation with what it had heard, nothing.

--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -22,6 +22,7 @@
 // world is some limiters on one counter, in virtual time.
 type world struct {
 	now      time.Duration
+	ahead    time.Duration // of the wall clock
 	rng      *rand.Rand
 	r        plans.Reservation
 	limiters []*Manager // nil: dead
@@ -54,9 +55,20 @@
 
 func (w *world) start(k int) {
 	w.limiters[k] = New(len(w.limiters), k, 1)
+	w.limiters[k].Ahead(w.ahead)
 	w.limiters[k].Set([]plans.Reservation{w.r})
 }
 
+// stepClock steps the wall clock, which all limiters read.
+func (w *world) stepClock(by time.Duration) {
+	w.ahead += by
+	for _, m := range w.limiters {
+		if m != nil {
+			m.Ahead(w.ahead)
+		}
+	}
+}
+
 // turn moves time on by a step; each limiter wants what its demand says.
 func (w *world) turn(demand []float64) {
 	w.now += step
@@ -226,3 +238,21 @@
 		require.LessOrEqual(t, w.taken, bound+1e-6)
 	})
 }
+
+// Limiters that run through steps of the wall clock grant no unit twice, whatever each has heard of the others by then.
+func TestStepsOfTheClockGrantNothingTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 4).Draw(t, "limiters")
+		units := rapid.SampledFrom([]float64{64, 640, 2000}).Draw(t, "units")
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), n, units)
+		for range rapid.IntRange(1, 10).Draw(t, "phases") {
+			demand := make([]float64, n)
+			for k := range demand {
+				demand[k] = rapid.SampledFrom([]float64{0, 3, 40}).Draw(t, "demand")
+			}
+			w.run(time.Duration(rapid.IntRange(100, 9000).Draw(t, "ms")/10*10)*time.Millisecond, demand...)
+			w.stepClock(rapid.SampledFrom([]time.Duration{0, -3 * time.Minute, -7 * time.Second, 7 * time.Second, 3 * time.Minute}).Draw(t, "step"))
+		}
+		require.LessOrEqual(t, w.taken, units+1e-6)
+	})
+}
