Reservations go on evenly through steps of the wall clock

At fault: step() numbered generations by the wall clock, and begin() took what was heard of the former one for all. Change: an account keeps the clock of when it came into use for its generations; start, end and rate of a reservation stay the wall clock's.

--- a/internal/reserve/reserve.go
+++ b/internal/reserve/reserve.go
@@ -95,9 +95,10 @@
 // account is what this limiter knows of one reservation.
 type account struct {
 	r         plans.Reservation
-	gen       int64   // that the figures below are of
-	base      float64 // units leased in the generations before
-	based     bool    // it is known
+	ahead     time.Duration // of the wall clock when it came into use: generations go on evenly from there
+	gen       int64         // that the figures below are of
+	base      float64       // units leased in the generations before
+	based     bool          // it is known
 	published bool
 	joined    bool    // something was ever leased here
 	own       float64 // leased here in this generation
@@ -124,7 +125,8 @@
 		firms: map[uint64][]*account{}, past: map[string]Use{}, out: map[uint64]*account{}}
 }
 
-// Ahead sets how far the wall clock is ahead of the time that is told. Generations and reservations go by it.
+// Ahead sets how far the wall clock is ahead of the time that is told. Reservations go by it; the generations of one that is in
+// use go on as before. Guards against one that is left in a step before what others leased in it is known.
 func (m *Manager) Ahead(by time.Duration) { m.ahead = by }
 
 // Set takes the reservations that may be drawn now. Those that are gone are forgotten with what is in hand; the firms
@@ -146,7 +148,7 @@
 			delete(gone, r.ID)
 			continue
 		}
-		a := &account{r: r}
+		a := &account{r: r, ahead: m.ahead}
 		m.accounts[r.ID] = a
 		m.firms[r.Firm] = append(m.firms[r.Firm], a)
 		slices.SortFunc(m.firms[r.Firm], func(a, b *account) int {
@@ -281,11 +283,9 @@
 	if a.called != none || wall >= a.r.Until {
 		return
 	}
-	gen, first := int64(wall/generation), int64(a.r.From/generation)
-	into := wall - time.Duration(gen)*generation
-	if a.based && gen < a.gen { // the wall clock has stepped back: what was leased stays so
-		a.begin(gen, a.leased())
-	}
+	clock := now + a.ahead
+	gen, first := int64(clock/generation), int64(a.r.From/generation)
+	into := clock - time.Duration(gen)*generation
 	switch {
 	case !a.based && gen == first:
 		a.gen, a.based, a.published = gen, true, true // nothing was drawn before
@@ -353,7 +353,7 @@
 	m.next++
 	a.called, a.amount = k, amount
 	m.out[m.next] = a
-	m.calls = append(m.calls, Call{m.next, name, amount, lives, callWait, time.Duration(a.gen)*generation - m.ahead})
+	m.calls = append(m.calls, Call{m.next, name, amount, lives, callWait, time.Duration(a.gen)*generation - a.ahead})
 }
 
 // name is that of a count of one generation: limiters agree on it without talk.
