--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. The deploy build stands in deploy/balancer.toml; `make build` runs the same.
-.PHONY: build test lint run ci faults states
+.PHONY: build test lint run ci faults soak states
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -23,6 +23,11 @@
 faults:
 	BRAMBLEFALL_SCRIPTS=100000 BRAMBLEFALL_SEED=$(SEED) go test ./cmd/bramblefall -run NoFault -count 1 -v -timeout 30m
 
+# The long form of the soak: lives of a limiter up to the kill, other ones with SEED=N.
+LIVES ?= 60
+soak:
+	BRAMBLEFALL_SOAK=$(LIVES) BRAMBLEFALL_SEED=$(SEED) go test ./cmd/bramblefall -run Soak -count 1 -v -timeout 30m
+
 # The long form of the model of leases: three limiters through two terms.
 states:
 	BRAMBLEFALL_STATES=1 go test ./internal/lease -run AllStates -count 1 -v
