--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -23,6 +23,7 @@
 	newConnectionGrace = time.Second             // in which a new connection is about to bring its first command
 	partialGrace       = 100 * time.Millisecond  // for the rest of a command, where others have no room
 	endTimeout         = 2 * time.Second         // for what waits before the end of a connection that cannot be read
+	unsentTimeout      = 5 * time.Second         // for a client to read its last answer
 )
 
 // idleness is how little a client connection is used.
@@ -81,6 +82,9 @@
 	c.mu.Unlock()
 	if left {
 		_ = c.conn.TakeSome(func(b []byte) {
+			if c.out.Backlogged() {
+				return // its client sends on and reads nothing
+			}
 			if answers := c.late(b); !c.out.Insist(answers) {
 				c.conn.Say(answers)
 			}
@@ -250,7 +254,8 @@
 // tells whether the connection is being closed. Half: also if a part of a command has come.
 func (c *clientConnection) closeIdle(half bool) bool {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Sent() && c.conn.Settled()
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending && c.out.Empty() && c.conn.Settled()
+	idle = idle && (c.conn.Sent() || time.Since(c.usedAt) > unsentTimeout)
 	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
@@ -260,25 +265,27 @@
 	return idle
 }
 
-// leave closes the connection at a planned restart if nothing is owed on it. One that has just come is about to speak.
+// leave ends the connection if nothing is owed on it, at a planned restart or where it brought too many errors. One that has
+// just come is about to speak.
 func (c *clientConnection) leave() {
 	if c.refusing.Load() {
-		c.closeIdle(false)
+		c.endIdle(true)
 		return
 	}
 	if !c.front.leaving.Load() {
 		return
 	}
 	if i := c.idle(); i.is && (i.active || time.Since(i.since) > newConnectionGrace) {
-		c.endIdle()
+		c.endIdle(false)
 	}
 }
 
 // endIdle ends the connection behind the answers that are queued, if nothing more is owed on it. What its client sends from now
-// on is refused if it is read, and not read otherwise: a client that sends on at once keeps no connection open.
-func (c *clientConnection) endIdle() {
+// on is refused if it is read, and not read otherwise: a client that sends on at once keeps no connection open. Half: also if a
+// part of a command has come.
+func (c *clientConnection) endIdle(half bool) {
 	c.mu.Lock()
-	idle := len(c.slots) == 0 && !c.partial && !c.reading && !c.ending
+	idle := len(c.slots) == 0 && (half || !c.partial) && !c.reading && !c.ending
 	c.ending, c.left = c.ending || idle, c.left || idle
 	c.mu.Unlock()
 	if idle {
