--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -86,8 +86,21 @@
 // New makes a client of discovery at an address.
 func New(addr string, set logic.Settings, book Addresses, post func(core.Event)) *Client {
 	heard := make(chan struct{})
-	return &Client{reloads: make(chan struct{}, 1), heard: heard, hear: sync.OnceFunc(func() { close(heard) }), drains: map[string]drain{}, addr: addr, moved: func() {}, zones: wire.NewNames(set.ZoneNames), kinds: wire.NewNames(set.KindNames), book: book, post: post, ids: map[string]logic.ServerID{},
-		listed: map[string]logic.ServerID{}, terms: termsOf(set)}
+	return &Client{
+		zones:   wire.NewNames(set.ZoneNames),
+		kinds:   wire.NewNames(set.KindNames),
+		book:    book,
+		post:    post,
+		terms:   termsOf(set),
+		heard:   heard,
+		hear:    sync.OnceFunc(func() { close(heard) }),
+		reloads: make(chan struct{}, 1),
+		addr:    addr,
+		moved:   func() {},
+		ids:     map[string]logic.ServerID{},
+		listed:  map[string]logic.ServerID{},
+		drains:  map[string]drain{},
+	}
 }
 
 // Known takes the list that this limiter last held. It may be old.
