--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -366,3 +367,53 @@
 	}
 	require.Equal(t, "+OK", c.answer())
 }
+
+// A caller cancels while the process stands still, with its call unread before it: nothing of the call leaves.
+func TestNothingLeavesForACallerThatCancelledAStoppedProcess(t *testing.T) {
+	t.Parallel()
+	o := &others{answer: verdictOf(within)}
+	l := start(t, world{second: second(t, o.listen(t))})
+	s := l.service()
+	_, err := s.ShouldRateLimit(inTime(t), call(of("1")))
+	require.NoError(t, err)
+	for round := range 10 {
+		l.stopped(10*time.Millisecond, func() {
+			var callers sync.WaitGroup
+			for range 5 {
+				callers.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+					defer cancel()
+					_, _ = s.ShouldRateLimit(ctx, call(of("1")))
+				})
+			}
+			callers.Wait()
+			time.Sleep(2 * goneAfter)
+		})
+		time.Sleep(50 * time.Millisecond)
+		require.Equal(t, 1, o.calls(), "round %d", round)
+	}
+}
+
+// More requests than the pool has connections for: none is refused for that while there is time, and none blames a server.
+func TestAFullPoolRefusesNobody(t *testing.T) {
+	t.Parallel()
+	const requests = 60 // 32 connections to servers fit in 128 descriptors, and four servers bear 48 attempts at first
+	var servers []*server
+	for n := range 4 {
+		servers = append(servers, newServer(t, fmt.Sprintf("s-%d", n), "hall-a", func(conn net.Conn, args []string) {
+			time.Sleep(100 * time.Millisecond)
+			value("v")(conn, args)
+		}))
+	}
+	l := start(t, world{servers: servers})
+	c := l.dial()
+	var all strings.Builder
+	for n := range requests {
+		all.WriteString(command(ask(fmt.Sprintf("%04x", n))...))
+	}
+	c.write(all.String())
+	for n := range requests {
+		require.Equal(t, "v", c.answer(), "request %d", n)
+	}
+	assert.NotContains(t, l.log.String(), "left out")
+}
