Tests: what is late is no shortage, and no job is told of after the end (red)

The new test of Parallel fails at once, since all of its jobs are done by the first word. Excluded: the machine's load; the test has no timing of its own.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -150,3 +150,25 @@
 	require.Greater(t, v.Over, 10.0)
 	require.Less(t, truth.Judge(0, "full", figures, began, 0, 20, nil).Beyond, v.Beyond-15, "reserved units are inside")
 }
+
+// What is told of jobs ends with the context, also where all of them are done by then.
+func TestNoJobIsToldOfAfterTheEnd(t *testing.T) {
+	s, err := LoadScenario("calm")
+	require.NoError(t, err)
+	s.Seconds, s.Warm, s.Nodes, s.Firms.Count = 2, 1, 3, 10
+	jobs := make([]Job, 8)
+	for k := range jobs {
+		jobs[k] = Job{Scenario: s, Policy: model.Own(), Seed: uint64(k)}
+	}
+	for range 20 {
+		ctx, cancel := context.WithCancel(t.Context())
+		told := 0
+		done := Parallel(ctx, jobs, func(int, Done) {
+			time.Sleep(20 * time.Millisecond) // the others are done meanwhile
+			told++
+			cancel()
+		})
+		require.Equal(t, 1, told)
+		require.Len(t, done, 1)
+	}
+}
--- /dev/null
+++ b/internal/ratelimit/late_test.go
@@ -0,0 +1,33 @@
+package ratelimit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/core"
+	"bramblefall/logic"
+)
+
+// A call whose time was over before it could leave tells nothing of connections that are short.
+func TestALateCallIsNoShortage(t *testing.T) {
+	const clock = 5 * time.Second
+	var outcomes []core.Outcome
+	caller := NewCaller(func(ev core.Event) {
+		if o, ok := ev.(core.Outcome); ok {
+			outcomes = append(outcomes, o)
+		}
+	}, func() time.Duration { return clock }, 1)
+	caller.SetAddress(1, "127.0.0.1:1")
+	for try, until := range []time.Duration{clock - time.Second, clock} {
+		caller.Try(core.Try{Key: core.Key{ID: 7, Try: try}, Server: 1, Ends: until, Until: until,
+			Origin: &check{call: context.Background()}})
+	}
+	require.Len(t, outcomes, 2)
+	for _, o := range outcomes {
+		require.NotEqual(t, logic.Unsent, o.Status)
+		require.NotEqual(t, logic.ConnectFailed, o.Status, "no endpoint is to blame")
+	}
+}
