A late try is told as late, not as a shortage; an ended run tells no more

Cause 1: Pool.start and Caller.Try gave a try whose time or window was over before it left the status Unsent, and fleet.left takes Unsent for a want of descriptors: the attempts that happened to be out became the bound for up to two seconds. Late is a status of its own: it proves that nothing ran, blames no server, costs no budget and leaves the capacity as it is. Moot was not taken: it ends the request, and after a time-out of one attempt there may be time for another.

Cause 2: lab.Parallel selected by chance between a finished job and an ended context. It looks at the context once more.

--- a/internal/lab/experiments.go
+++ b/internal/lab/experiments.go
@@ -67,13 +67,15 @@
 	for k := range jobs {
 		select {
 		case <-ready[k]:
-			if tell != nil {
-				tell(k+1, out[k])
-			}
 		case <-ctx.Done():
+		}
+		if ctx.Err() != nil { // looked at once more: select chooses by chance where both are ready
 			wg.Wait()
 			return out[:k]
 		}
+		if tell != nil {
+			tell(k+1, out[k])
+		}
 	}
 	wg.Wait()
 	return out
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -179,7 +179,7 @@
 	case e.withdrawn:
 		status = logic.Full
 	case t.Until > 0 && c.now() >= t.Until:
-		status = logic.Unsent
+		status = logic.Late
 	default:
 		status = c.connect(e)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -227,7 +227,7 @@
 		p.finish(core.Outcome{Status: logic.ConnectFailed}, f)
 		return
 	}
-	if !p.due(f, logic.Unsent) {
+	if !p.due(f, logic.Late) {
 		return
 	}
 	for n := len(f.target.idle) - 1; n >= 0; n-- {
@@ -304,9 +304,9 @@
 	p.write(c, f)
 }
 
-// due tells whether a flight's bytes may leave now; it ends one of which they may not, by late where it is too late. Guards against a repeat that no server
-// drops any more, and against a request that nobody waits for: the reducer may not have said so yet, and its client's end may
-// lie unread or in the inbox behind much else.
+// due tells whether a flight's bytes may leave now; it ends one of which they may not, by late where it is too late. Guards
+// against a repeat that no server drops any more, and against a request that nobody waits for: the reducer may not have said
+// so yet, and its client's end may lie unread or in the inbox behind much else.
 func (p *Pool) due(f *flight, late logic.Status) bool {
 	if p.now() >= f.until {
 		p.finish(core.Outcome{Status: late}, f)
--- a/logic/api.go
+++ b/logic/api.go
@@ -179,7 +179,7 @@
 // Status is how an attempt, probe or counter call ended.
 type Status int
 
-// The ways to end. Full, ConnectFailed, Moot and Unsent prove that nothing ran.
+// The ways to end.
 const (
 	OK Status = iota
 	Error
@@ -191,8 +191,18 @@
 	Moot
 	Spoilt // an answer came that nobody can use: it may have run
 	Unsent // it did not leave, for want of something here: the server is not to blame
+	Late   // its time was over before it could leave: neither the server nor a shortage is to blame
 )
 
+// provesNothingRan tells whether an attempt that ended so has certainly not run at its server.
+func (s Status) provesNothingRan() bool {
+	switch s {
+	case Full, ConnectFailed, Moot, Unsent, Late:
+		return true
+	}
+	return false
+}
+
 // Outcome ends an attempt (event).
 type Outcome struct {
 	ID      uint64
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -203,7 +203,7 @@
 	}
 	r.fleet.left(o.Status)
 	g.learn(s, r, o)
-	neverRan := o.Status == Full || o.Status == ConnectFailed || o.Status == Moot || o.Status == Unsent
+	neverRan := o.Status.provesNothingRan()
 	if !neverRan && !r.ran {
 		r.ran, r.keyServer, r.keyUntil = true, s, r.sentAt+r.class.KeyTTL
 	}
@@ -855,7 +855,7 @@
 		if f.strain < calm && (f.busy+1 > 0.8*f.bound() || g.blind > 0 && f.room < 1) {
 			f.limit = min(f.limit*(1+0.005*(1+9*g.blind)), limitMost)
 		}
-	case Cancelled, Moot, Unsent:
+	case Cancelled, Moot, Unsent, Late:
 		s.trial = false
 	default:
 		// Overload shows in what is not answered, too, but it also makes the answers slow. While they are quick, a
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -116,7 +116,7 @@
 		b.t.Fatalf("request %d has no attempt out", p.ID)
 	}
 	p.out = false
-	if st != Full && st != ConnectFailed && st != Moot && st != Unsent && !p.mayRan {
+	if st != Full && st != ConnectFailed && st != Moot && st != Unsent && st != Late && !p.mayRan {
 		p.mayRan, p.firstRan, p.firstSent = true, p.server, p.sentAt
 	}
 	closed := p.answer != ""
@@ -252,7 +252,7 @@
 func playRandom(t *testing.T, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 5))
 	b := newBench(t, testSettings(), ready(6)...)
-	statuses := []Status{OK, OK, OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Unsent}
+	statuses := []Status{OK, OK, OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot, Unsent, Late}
 	b.run(20*time.Second, func() {
 		if rng.Float64() < 0.3 {
 			b.arrive(Request{Class: rng.IntN(4), Plan: rng.IntN(4), Customer: uint64(rng.IntN(40)),
@@ -725,3 +725,27 @@
 		t.Error("a trial that went well over a pause leaves its server out")
 	}
 }
+
+// An attempt that was too late to leave is no sign of a shortage: what comes behind it must not be held back, as it is behind
+// one that did not leave for want of a connection.
+func TestALateAttemptHoldsNothingBack(t *testing.T) {
+	sentBehind := func(st Status) int {
+		b := newBench(t, testSettings(), ready(6)...)
+		first := b.arrive(Request{Customer: 1, Units: 1})
+		if !first.out {
+			t.Fatal("the first attempt is not out")
+		}
+		b.end(first, st)
+		before := len(b.sent)
+		for customer := range uint64(4) {
+			b.arrive(Request{Customer: 2 + customer, Units: 1})
+		}
+		return len(b.sent) - before
+	}
+	if n := sentBehind(Late); n != 4 {
+		t.Errorf("%d of 4 requests are sent on behind a late one", n)
+	}
+	if n := sentBehind(Unsent); n >= 4 {
+		t.Errorf("all of 4 requests are sent on at once after a shortage")
+	}
+}
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -308,10 +308,12 @@
 	return g.set.StartCapacity + (1-g.set.StartCapacity)*max(0, age.Seconds())/g.set.Cold.Seconds()
 }
 
-const capacityGrows = 3.0 // attempts a second that are tried beyond what was found; as many again come with as many good answers
+// capacityGrows is by how many attempts out at once the capacity found grows in a second, to see whether there is room again.
+const capacityGrows = 3.0
 
 // left takes note of whether an attempt could leave: not, for want of a connection, port or buffer of this process, or well.
-// Guards against as many further ones at once as a request may have, and a refusal while there is time.
+// Guards against as many further ones at once as a request may have, and a refusal while there is time. One that was too late
+// to leave tells nothing of that.
 func (f *fleet) left(st Status) {
 	switch {
 	case st == Unsent:
@@ -335,7 +337,7 @@
 // cost the servers next to nothing, and what did not leave costs nothing at all.
 func (f *fleet) charge(st Status, little bool) {
 	switch {
-	case st == Unsent:
+	case st == Unsent || st == Late:
 		f.room++
 	case little:
 		f.retries, f.room = f.retries-unrun, f.room+1
