Test: each of 40,000 commands sent ahead has its answer (red)

The audit's row "a slow reader" was open past 9,216 commands ahead on one connection: what follows is read and dropped, and the connection ends behind what is due. Seen red: the connection ends before the last answers.

--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -115,6 +115,17 @@
 			release()
 			return 1024
 		},
+		"all that a client sends ahead": func(t *testing.T, c *client, release func()) int {
+			const all = 40000
+			var ahead strings.Builder
+			for n := range all {
+				ahead.WriteString(command(ask(fmt.Sprintf("%04x", n))...))
+			}
+			go func() { _, _ = io.WriteString(c.conn, ahead.String()) }()
+			time.Sleep(500 * time.Millisecond)
+			release()
+			return all
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
