A million commands sent ahead are each answered, not the first 9,216

Cause: commands that came while 1,024 waited were counted and refused, and past 8,192 of them the connection read and dropped the rest, since the refusals were written out as bytes (bytes.Repeat) when their turn came.

Outbox.Repeat holds bytes once, with how often they go out, and makes each flush of 64 KiB when it is due; so a refusal costs a number, and the bound is 1 << 20. The bound on what waits (Most, Backlog) counts held bytes as before.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -15,7 +15,7 @@
 
 const (
 	waitingLimit = 1024    // commands on one connection without an answer yet; what comes beyond is refused in its turn
-	refusedLimit = 8 << 10 // of these at once: who sends more does not read
+	refusedLimit = 1 << 20 // of these at once: who sends more never reads
 	errorLimit   = 64      // of one connection: who sends nothing else is not worth it
 
 	commandTimeout     = 2400 * time.Millisecond // for the first whole command, and for the rest of any other
@@ -227,7 +227,7 @@
 			continue
 		}
 		c.write(s.answer)
-		c.out.Insist(bytes.Repeat(c.front.busyAnswer, s.refused))
+		c.out.Repeat(c.front.busyAnswer, s.refused)
 		if s.last {
 			c.out.CloseAfter()
 		}
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -1,6 +1,7 @@
 package socket
 
 import (
+	"bytes"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -33,12 +34,19 @@
 	shared  *Backlog
 
 	mu       sync.Mutex
-	waiting  []byte
+	waiting  []piece
+	held     int // bytes of them
 	flushing bool
 	closing  bool // close the connection once all is written
 	broken   bool
 }
 
+// piece is bytes that go out so many times, one behind the other.
+type piece struct {
+	bytes []byte
+	times int
+}
+
 // Backlog bounds what waits in several outboxes together.
 type Backlog struct {
 	most  int64
@@ -65,34 +73,47 @@
 	if o.broken {
 		return ErrClosed
 	}
-	if len(o.waiting)+len(b) > Most && o.shared.bytes.Load()+int64(len(b)) > o.shared.most {
+	if o.held+len(b) > Most && o.shared.bytes.Load()+int64(len(b)) > o.shared.most {
 		return ErrFull
 	}
-	o.add(b)
+	o.add(b, 1)
 	return nil
 }
 
 // Insist queues a few bytes, however many wait. The caller bounds them. It tells whether they are queued: nothing is behind the end.
-func (o *Outbox) Insist(b []byte) bool {
+func (o *Outbox) Insist(b []byte) bool { return o.Repeat(b, 1) }
+
+// Repeat does as Insist, so many times over; the bytes are held once.
+func (o *Outbox) Repeat(b []byte, times int) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if !o.broken && len(b) > 0 {
-		o.add(b)
+	if !o.broken && len(b) > 0 && times > 0 {
+		o.add(b, times)
 	}
 	return !o.broken
 }
 
-func (o *Outbox) add(b []byte) {
-	o.waiting = append(o.waiting, b...)
-	o.shared.bytes.Add(int64(len(b)))
+func (o *Outbox) add(b []byte, times int) {
+	if n := len(o.waiting); times == 1 && n > 0 && o.waiting[n-1].times == 1 {
+		o.waiting[n-1].bytes = append(o.waiting[n-1].bytes, b...)
+	} else {
+		o.waiting = append(o.waiting, piece{bytes.Clone(b), times})
+	}
+	o.hold(len(b))
 	o.start()
 }
 
+// hold counts bytes that wait, or do no more.
+func (o *Outbox) hold(n int) {
+	o.held += n
+	o.shared.bytes.Add(int64(n))
+}
+
 // Backlogged tells whether so much waits that the peer seems to have stopped reading.
 func (o *Outbox) Backlogged() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.waiting) >= Most
+	return o.held >= Most
 }
 
 // Empty tells whether all that was queued has been written.
@@ -110,14 +131,39 @@
 	o.start()
 }
 
-// forget takes off what has been written, or will not be.
-func (o *Outbox) forget(n int) {
-	o.shared.bytes.Add(-int64(n))
-	if o.waiting = o.waiting[n:]; len(o.waiting) == 0 {
+// next is what one flush takes.
+func (o *Outbox) next() []byte {
+	p := o.waiting[0]
+	if p.times > 1 {
+		return bytes.Repeat(p.bytes, min(p.times, max(mostFlush/len(p.bytes), 1)))
+	}
+	return p.bytes[:min(len(p.bytes), mostFlush)]
+}
+
+// written takes off what a flush has written.
+func (o *Outbox) written(n int) {
+	p := &o.waiting[0]
+	if p.times > 1 {
+		if p.times -= n / len(p.bytes); p.times > 0 {
+			return
+		}
+		n = len(p.bytes)
+	}
+	o.hold(-n)
+	if p.bytes = p.bytes[n:]; len(p.bytes) > 0 {
+		return
+	}
+	if o.waiting = o.waiting[1:]; len(o.waiting) == 0 {
 		o.waiting = nil
 	}
 }
 
+// discard takes off what will not be written.
+func (o *Outbox) discard() {
+	o.waiting = nil
+	o.hold(-o.held)
+}
+
 func (o *Outbox) start() {
 	if !o.flushing {
 		o.flushing = true
@@ -136,18 +182,18 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for len(o.waiting) > 0 && !o.broken {
-		b := o.waiting[:min(len(o.waiting), mostFlush)]
+		b := o.next()
 		o.mu.Unlock()
 		err := o.conn.Write(b)
 		o.mu.Lock()
-		o.forget(len(b))
+		o.written(len(b))
 		o.broken = o.broken || err != nil
 	}
 	o.flushing = false
 	if o.broken || o.closing {
 		lingers := !o.broken
 		o.broken = true
-		o.forget(len(o.waiting))
+		o.discard()
 		lastwords.Go(func() { // in its own goroutine: close callbacks take their owners' locks
 			if lingers {
 				o.linger()
