Tests: endpoints that leave their group, and one in two clusters (red)

Two clusters hold: ours alone decides. An endpoint that the files no longer name (by itself, with its zone, or since another priority has taken over) has its calls in hand cut off, and they are made a second time elsewhere: a hit counted twice, and a verdict of another. Seen red in these three cases; one that drains by its health status keeps them.

--- /dev/null
+++ b/cmd/bramblefall/endpoints_test.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	rlsv3 "github.com/envoyproxy/go-control-plane/envoy/service/ratelimit/v3"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const endpointGrace = 550 * time.Millisecond // the settings' 500, and 50 that every limit on sockets is longer
+
+// An endpoint that leaves the group, in whatever way, may answer what it has: calls in hand are not cut off, and nothing new goes
+// there.
+func TestAnEndpointThatLeavesAnswersWhatItHas(t *testing.T) {
+	t.Parallel()
+	for name, rest := range map[string]func(t *testing.T, leaves, stays string) object{
+		"it drains": func(t *testing.T, leaves, stays string) object {
+			return assignment("limits", locality(t, "hall-a", 0, 1, leaves, stays))
+		},
+		"it is no longer named": func(t *testing.T, _, stays string) object {
+			return assignment("limits", locality(t, "hall-a", 0, 0, stays))
+		},
+		"its zone is removed": func(t *testing.T, _, stays string) object {
+			return assignment("limits", locality(t, "hall-b", 0, 0, stays))
+		},
+		"another priority takes over": func(t *testing.T, leaves, stays string) object {
+			return assignment("limits", locality(t, "hall-a", 0, 1, leaves), locality(t, "hall-a", 1, 0, stays))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			held := make(chan struct{})
+			leaves := &others{answer: func(context.Context, *rlsv3.RateLimitRequest) (*rlsv3.RateLimitResponse, error) {
+				<-held
+				return verdictOf(within)(nil, nil)
+			}}
+			stays := &others{answer: verdictOf(rlsv3.RateLimitResponse_OVER_LIMIT)}
+			addr := leaves.listen(t)
+			file := second(t, addr)
+			l := start(t, world{second: file})
+			s := l.service()
+			verdicts := make(chan rlsv3.RateLimitResponse_Code, 1)
+			go func() {
+				answer, err := s.ShouldRateLimit(inTime(t), call(of("a1")))
+				assert.NoError(t, err)
+				verdicts <- answer.GetOverallCode()
+			}()
+			require.Eventually(t, func() bool { return leaves.calls() == 1 }, patience, time.Millisecond)
+			writeAssignments(t, filepath.Dir(file), rest(t, addr, stays.listen(t)))
+			time.Sleep(endpointGrace) // what the files say is in force
+			for firm := range 5 {
+				_, err := s.ShouldRateLimit(inTime(t), call(of(fmt.Sprintf("b%d", firm))))
+				require.NoError(t, err)
+			}
+			close(held)
+			assert.Equal(t, within, <-verdicts, "the one that had the call has answered it")
+			assert.Equal(t, 1, leaves.calls())
+			assert.Equal(t, 5, stays.calls())
+		})
+	}
+}
+
+// An endpoint that two clusters name is ours as our cluster says: what becomes of it in the other changes nothing.
+func TestAnEndpointInTwoClusters(t *testing.T) {
+	t.Parallel()
+	a, b := &others{answer: verdictOf(within)}, &others{answer: verdictOf(within)}
+	first, then := a.listen(t), b.listen(t)
+	file := second(t, first)
+	dir := filepath.Dir(file)
+	s := start(t, world{second: file}).service()
+	asks := func(n int) {
+		for firm := range n {
+			_, err := s.ShouldRateLimit(inTime(t), call(of(fmt.Sprintf("%x", 1+firm))))
+			require.NoError(t, err)
+		}
+	}
+	ours := assignment("limits", locality(t, "hall-a", 0, 0, first))
+	for name, other := range map[string]object{
+		"drains there":     assignment("audit", locality(t, "hall-a", 0, 1, first)),
+		"is not there":     assignment("audit", locality(t, "hall-a", 0, 0, then)),
+		"the other's gone": assignment("audit"),
+	} {
+		before := a.calls()
+		writeAssignments(t, dir, other, ours)
+		time.Sleep(endpointGrace)
+		asks(5)
+		require.Equal(t, before+5, a.calls(), name)
+	}
+	writeAssignments(t, dir, assignment("audit", locality(t, "hall-a", 0, 0, first)), assignment("limits", locality(t, "hall-a", 0, 1, first, then)))
+	time.Sleep(endpointGrace)
+	before := a.calls()
+	asks(5)
+	require.Equal(t, before, a.calls(), "it drains in our cluster, and is ready in the other")
+	require.Equal(t, 5, b.calls())
+}
--- a/cmd/bramblefall/ratelimit_test.go
+++ b/cmd/bramblefall/ratelimit_test.go
@@ -56,8 +56,8 @@
 	return writeJSON(t, filepath.Join(dir, "ratelimit.json"), file)
 }
 
-// writeEndpoints names endpoints, of which the first so many drain.
-func writeEndpoints(t *testing.T, dir string, drain int, addrs ...string) {
+// locality is endpoints of a zone, of which the first ones drain.
+func locality(t *testing.T, zone string, priority, drain int, addrs ...string) object {
 	all := []object{}
 	for k, addr := range addrs {
 		host, port, err := net.SplitHostPort(addr)
@@ -70,9 +70,22 @@
 		}
 		all = append(all, e)
 	}
-	writeJSON(t, filepath.Join(dir, "eds.json"), object{"resources": []object{{
-		"@type":        "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
-		"cluster_name": "limits", "endpoints": []object{{"locality": object{"zone": "hall-a"}, "lb_endpoints": all}}}}})
+	return object{"locality": object{"zone": zone}, "priority": priority, "lb_endpoints": all}
+}
+
+// assignment is the endpoints of a cluster.
+func assignment(cluster string, localities ...object) object {
+	return object{"@type": "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment", "cluster_name": cluster,
+		"endpoints": localities}
+}
+
+// writeEndpoints names endpoints, of which the first so many drain.
+func writeEndpoints(t *testing.T, dir string, drain int, addrs ...string) {
+	writeAssignments(t, dir, assignment("limits", locality(t, "hall-a", 0, drain, addrs...)))
+}
+
+func writeAssignments(t *testing.T, dir string, all ...object) {
+	writeJSON(t, filepath.Join(dir, "eds.json"), object{"resources": all})
 }
 
 func (l *limiter) service() rlsv3.RateLimitServiceClient {
