gRPC: an endpoint that its group no longer names answers what it has

Cause: Caller.Remove closed the endpoint's connection at once; its calls in hand ended as resets, and the module made them again at another endpoint (internal/ratelimit/caller.go, Remove and drop). A priority that takes over removes the endpoints of the one before in the same way.

Remove withdraws the endpoint like a drain does, and forgets it when its last call ends. An endpoint that is named again before keeps its connection.

--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -45,11 +45,13 @@
 }
 
 type endpoint struct {
+	id        logic.ServerID
 	addr      string
 	client    *grpc.ClientConn // nil: none is needed yet
 	out       int              // calls on it
 	used      time.Time
-	withdrawn bool // it drains: no call begins any more
+	withdrawn bool // it drains or is removed: no call begins any more
+	removed   bool // it is forgotten when its last call ends
 }
 
 // pending is a try that is out.
@@ -71,11 +73,11 @@
 	defer c.mu.Unlock()
 	e := c.endpoints[id]
 	if e != nil && e.addr == addr {
-		e.withdrawn = false
+		e.withdrawn, e.removed = false, false
 		return
 	}
 	c.drop(id)
-	c.endpoints[id] = &endpoint{addr: addr}
+	c.endpoints[id] = &endpoint{id: id, addr: addr}
 }
 
 // Withdraw ends what is new to an endpoint that drains: calls of which nothing has left never do. What it has got it may still
@@ -83,10 +85,12 @@
 func (c *Caller) Withdraw(id logic.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e := c.endpoints[id]
-	if e == nil {
-		return
+	if e := c.endpoints[id]; e != nil {
+		c.withdraw(e)
 	}
+}
+
+func (c *Caller) withdraw(e *endpoint) {
 	e.withdrawn = true
 	for _, p := range c.tries {
 		if p.at == e {
@@ -148,11 +152,21 @@
 	}
 }
 
-// Remove forgets an endpoint that its group no longer names. Calls in hand on it end as resets.
+// Remove forgets an endpoint that its group no longer names, once it has answered what it has got.
 func (c *Caller) Remove(id logic.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.drop(id)
+	if e := c.endpoints[id]; e != nil {
+		e.removed = true
+		c.withdraw(e)
+		c.forgetUnused(e)
+	}
+}
+
+func (c *Caller) forgetUnused(e *endpoint) {
+	if e.removed && e.out == 0 && c.endpoints[e.id] == e {
+		c.drop(e.id)
+	}
 }
 
 func (c *Caller) drop(id logic.ServerID) {
@@ -209,6 +223,7 @@
 	c.mu.Lock()
 	delete(c.tries, key)
 	e.out, e.used = e.out-1, time.Now()
+	c.forgetUnused(e)
 	c.mu.Unlock()
 	o := core.Outcome{Key: key, Status: p.outcome(err), Value: answer}
 	if code := answer.GetOverallCode(); err == nil && code != rlsv3.RateLimitResponse_OK &&
