xDS: a file that was written just now is read once more

Cause: look compared time and size, which two writes within one tick of the file system's clock may share.

--- a/internal/xds/xds.go
+++ b/internal/xds/xds.go
@@ -30,7 +30,8 @@
 	looks     = 5 // at the files within the grace for drains: what they say counts as told when it is written
 	leastLook = 20 * time.Millisecond
 	mostLook  = 100 * time.Millisecond
-	firstID   = 1 << 40 // apart from the ids of the platform's servers
+	firstID   = 1 << 40               // apart from the ids of the platform's servers
+	fileClock = 50 * time.Millisecond // two writes closer together may leave a file with the same time
 )
 
 // Files say where the resources stand and which cluster is meant.
@@ -127,12 +128,16 @@
 	}
 }
 
-// look is a mark of the files as they are: it changes when one is written or replaced.
+// look is a mark of the files as they are: it changes when one is written or replaced, and while one may still be written again
+// without a sign of it.
 func (g *Group) look() string {
 	mark := ""
 	for _, path := range []string{g.files.Clusters, g.files.Endpoints} {
 		if info, err := os.Stat(path); err == nil {
 			mark += fmt.Sprint(info.ModTime().UnixNano(), " ", info.Size(), " ")
+			if age := time.Since(info.ModTime()).Abs(); age < fileClock {
+				mark += fmt.Sprint("written just now: ", age, " ")
+			}
 		}
 	}
 	return mark
