--- a/cmd/bramblefall/size_test.go
+++ b/cmd/bramblefall/size_test.go
@@ -35,46 +35,77 @@
 	assert.Less(l.t, kb>>10, sizeCap)
 }
 
-// A list of 1,024 limiters and 1,024 servers is taken by every front and part, within a small cap on memory and on
-// descriptors, and a limiter that has it ends as any other.
-func TestListsOfAThousand(t *testing.T) { // by itself, for the same reason as the fleet that is restarted
+// fleetOf is the settings of a limiter of so many, the last of them.
+func fleetOf(limiters int) object {
 	set := settings()
-	set["balancers"], set["rank"] = aThousand, aThousand-1
+	set["balancers"], set["rank"] = limiters, limiters-1
 	set["tariffs"] = []object{plan("regular", 1e6, 4e6, 0)} // a limiter's part of it holds nobody up
-	var all []*server
-	for k := range aThousand {
+	return set
+}
+
+// serversOf is so many servers, which answer with their number; the first ones drain.
+func serversOf(t *testing.T, n int) (all []*server) {
+	for k := range n {
 		s := newServer(t, fmt.Sprintf("s-%04d", k), []string{"hall-a", "hall-b"}[k%2], value(fmt.Sprintf("%04d", k)))
 		if k < drainedOf {
 			s.state = "draining"
 		}
 		all = append(all, s)
 	}
-	served := func(t *testing.T, l *limiter) {
-		c := l.dial()
-		for k := 0; k < 100; {
-			args := ask(fmt.Sprintf("%06x", 1+k))
-			args[3] = fmt.Sprintf("c=balance-read,t=regular,d=4000,units=1,spread=%d,first=%d", aThousand, aThousand-1)
-			text := c.do(args...)
-			if n, err := strconv.Atoi(text); err == nil {
-				require.GreaterOrEqual(t, n, drainedOf)
-				k++
-			} else {
-				require.Regexp(t, "^-BUSY", text, "before the list has come, or where a server is tried first")
-			}
+	return all
+}
+
+// servesByTheWholeList looks at a limiter of so many, the last of them, with a list of servers.
+func (l *limiter) servesByTheWholeList(limiters int) {
+	c := l.dial()
+	for k := 0; k < 100; {
+		args := ask(fmt.Sprintf("%06x", 1+k))
+		args[3] = fmt.Sprintf("c=balance-read,t=regular,d=4000,units=1,spread=%d,first=%d", limiters, limiters-1)
+		text := c.do(args...)
+		if n, err := strconv.Atoi(text); err == nil {
+			require.GreaterOrEqual(l.t, n, drainedOf)
+			k++
+		} else {
+			require.Regexp(l.t, "^-BUSY", text, "before the list has come, or where a server is tried first")
 		}
-		l.fits(128)
 	}
+	l.fits(128)
+}
+
+// The largest fleet that the pages name: 900 limiters before 3,200 servers, from the list known at the start and from discovery's.
+func TestTheLargestFleet(t *testing.T) { // by itself, as the next
+	const limiters, servers = 900, 3200
+	set, all := fleetOf(limiters), serversOf(t, servers)
+	r := newRegistry(t)
+	r.tell(2, true, all...)
+	for name, w := range map[string]world{
+		"known at the start":  {settings: set, servers: all, memory: sizeCap},
+		"listed by discovery": {settings: set, registry: r, counter: newCounter(t), memory: sizeCap},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := start(t, w)
+			l.servesByTheWholeList(limiters)
+			l.terminate()
+			l.leaves()
+		})
+	}
+}
+
+// A list of 1,024 limiters and 1,024 servers is taken by every front and part, within a small cap on memory and on
+// descriptors, and a limiter that has it ends as any other.
+func TestListsOfAThousand(t *testing.T) { // by itself, for the same reason as the fleet that is restarted
+	set, all := fleetOf(aThousand), serversOf(t, aThousand)
 	for name, play := range map[string]func(t *testing.T) *limiter{
 		"known at the start": func(t *testing.T) *limiter {
 			l := start(t, world{settings: set, servers: all, memory: sizeCap})
-			served(t, l)
+			l.servesByTheWholeList(aThousand)
 			return l
 		},
 		"listed by discovery": func(t *testing.T) *limiter {
 			r := newRegistry(t)
 			r.tell(2, true, all...)
 			l := start(t, world{settings: set, registry: r, counter: newCounter(t), memory: sizeCap})
-			served(t, l)
+			l.servesByTheWholeList(aThousand)
 			return l
 		},
 		"limiters of a gRPC call": func(t *testing.T) *limiter {
