Packages lastwords, due and spread are crash, schedule and sharding

Names of our earlier house style that need explaining: lastwords (what a panic says before the program ends) is crash, due (a queue by time) is schedule, spread (which counter holds a name) is sharding. No other line changed; gofmt moved imports.

--- a/cmd/bramblefall/check.go
+++ b/cmd/bramblefall/check.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"bramblefall/internal/spread"
+	"bramblefall/internal/sharding"
 )
 
 // checkCommand reads an operators' file as the limiter would. No running limiter is needed.
@@ -33,7 +33,7 @@
 				rows = append(rows, []string{"admin", file.Admin.Socket, "at the start", "", ""})
 			}
 			for _, x := range file.Counters {
-				rows = append(rows, []string{"counter", x.Address, "at once", "", fmt.Sprintf("one of %d, list %s", len(file.Counters), spread.Fingerprint(file.Addresses()))})
+				rows = append(rows, []string{"counter", x.Address, "at once", "", fmt.Sprintf("one of %d, list %s", len(file.Counters), sharding.Fingerprint(file.Addresses()))})
 			}
 			return o.write(c.OutOrStdout(), file, "WHAT WHICH FROM SIZE NOTE", rows)
 		}}
--- a/cmd/bramblefall/main.go
+++ b/cmd/bramblefall/main.go
@@ -16,7 +16,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/operator"
 	"bramblefall/internal/plans"
 )
@@ -29,7 +29,7 @@
 )
 
 func main() {
-	defer lastwords.Guard()
+	defer crash.Guard()
 	root := rootCommand()
 	root.SetArgs(oldFlags(os.Args[1:]))
 	if err := root.Execute(); err != nil {
--- a/cmd/bramblefall/ratelimit.go
+++ b/cmd/bramblefall/ratelimit.go
@@ -9,7 +9,7 @@
 	"os"
 	"path/filepath"
 
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/loop"
 	"bramblefall/internal/operator"
 	"bramblefall/internal/plans"
@@ -73,7 +73,7 @@
 		if err := r.group.Load(); err != nil {
 			return err
 		}
-		lastwords.Go(func() { r.group.Run(ctx) })
+		crash.Go(func() { r.group.Run(ctx) })
 	}
 	at, err := r.front.Listen(r.Listen)
 	if err != nil {
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -11,8 +11,8 @@
 	"bramblefall/internal/admin"
 	"bramblefall/internal/core"
 	"bramblefall/internal/counter"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/discovery"
-	"bramblefall/internal/lastwords"
 	"bramblefall/internal/loop"
 	"bramblefall/internal/operator"
 	"bramblefall/internal/plans"
@@ -83,7 +83,7 @@
 	owner.Begin()
 	list.Known(cfg.Known)
 	for _, run := range []func(context.Context){owner.Run, pool.Run, counts.Run, list.Run} {
-		lastwords.Go(func() { run(ctx) })
+		crash.Go(func() { run(ctx) })
 	}
 	if cfg.Discovery != "" {
 		select {
@@ -115,10 +115,10 @@
 		defer operators.Stop()
 		slog.Info("serving operators", "socket", file.Admin.Socket)
 	}
-	lastwords.Go(func() { front.Run(ctx) })
+	crash.Go(func() { front.Run(ctx) })
 	slog.Info("serving", "name", cfg.Name, "listen", at)
 
-	lastwords.Go(func() {
+	crash.Go(func() {
 		for range told.again { // also while it drains: discovery may move meanwhile
 			reload(cfg, o, owner, list, counts)
 		}
@@ -127,7 +127,7 @@
 	ended := time.After(lastAnswersAfter(cfg.settings.Classes))
 	slog.Info("draining", "open", owner.Open())
 	drained := make(chan struct{})
-	lastwords.Go(func() {
+	crash.Go(func() {
 		defer close(drained)
 		if service != nil {
 			service.front.Drain()
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -19,7 +19,7 @@
 
 	"bramblefall/internal/admin/adminpb"
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/plans"
 	"bramblefall/internal/socket"
 )
@@ -53,7 +53,7 @@
 }
 
 func guarded(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
-	defer lastwords.Guard()
+	defer crash.Guard()
 	return handle(ctx, req)
 }
 
@@ -85,7 +85,7 @@
 		_ = l.Close()
 		return fmt.Errorf("admin socket: %w", err)
 	}
-	lastwords.Go(func() {
+	crash.Go(func() {
 		_ = s.server.Serve(socket.Steady(l))
 		_ = os.Remove(path)
 	})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,7 @@
 
 	"bramblefall/internal/plans"
 	"bramblefall/internal/reserve"
-	"bramblefall/internal/spread"
+	"bramblefall/internal/sharding"
 	"bramblefall/logic"
 )
 
@@ -172,7 +172,7 @@
 	now      time.Duration
 	ahead    time.Duration // of the wall clock, by which plans and reservations name their times
 	requests map[uint64]*requestContext
-	ring     *spread.Ring       // nil: there is one counter
+	ring     *sharding.Ring     // nil: there is one counter
 	relistAt time.Duration      // when the list timer rings; 0: it is not set
 	calls    map[uint64]part    // by effect
 	due      map[uint64][]*call // calls of the module that it has not been told the answer to, by name, in their order
--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"bramblefall/internal/spread"
+	"bramblefall/internal/sharding"
 	"bramblefall/logic"
 )
 
@@ -30,9 +30,9 @@
 	at, until time.Duration
 	lease     bool   // of the reserves
 	token     uint64 // theirs
-	targets   spread.Targets
+	targets   sharding.Targets
 	parts     []logic.CountPart
-	answers   []spread.Answer
+	answers   []sharding.Answer
 	out       int // parts without an answer
 	over      bool
 	single    bool // there is one counter
@@ -48,8 +48,8 @@
 // Spread has names dealt out to several counters from the start on. It is called before Begin. A process that starts in service
 // cannot know whether the list has just changed.
 func (r *Reducer) Spread(now time.Duration, addresses []string, settled bool) {
-	if r.ring = spread.Start(now, addresses); settled {
-		r.ring = spread.New(addresses)
+	if r.ring = sharding.Start(now, addresses); settled {
+		r.ring = sharding.New(addresses)
 	}
 	r.gateway.Spread(r.ring)
 }
@@ -57,7 +57,7 @@
 // relist takes a list of counters.
 func (r *Reducer) relist(e Counters) {
 	if r.ring == nil {
-		r.ring = spread.New([]string{e.Before})
+		r.ring = sharding.New([]string{e.Before})
 		r.gateway.Spread(r.ring)
 	}
 	if r.ring.Set(r.now, e.Addresses) {
@@ -93,7 +93,7 @@
 
 // call makes a call at the counters of its name, but for those that are spared.
 func (r *Reducer) call(c *call, began time.Duration, spared uint8) {
-	if c.targets = (spread.Targets{To: []int{0}}); r.ring != nil {
+	if c.targets = (sharding.Targets{To: []int{0}}); r.ring != nil {
 		c.targets = r.ring.Of(r.now, c.name, began)
 	} else {
 		c.single = true
@@ -125,7 +125,7 @@
 	delete(r.calls, e.Call)
 	c := p.call
 	c.parts[p.n].Status, c.parts[p.n].Latency = e.Status, r.now-c.at
-	c.answers = append(c.answers, spread.Answer{Counter: c.parts[p.n].Counter, OK: e.Status == logic.OK, Total: e.Total})
+	c.answers = append(c.answers, sharding.Answer{Counter: c.parts[p.n].Counter, OK: e.Status == logic.OK, Total: e.Total})
 	if c.out--; c.out == 0 {
 		r.joined(c)
 	}
--- a/internal/core/counters_test.go
+++ b/internal/core/counters_test.go
@@ -11,7 +11,7 @@
 
 	"bramblefall/internal/core"
 	"bramblefall/internal/plans"
-	"bramblefall/internal/spread"
+	"bramblefall/internal/sharding"
 	"bramblefall/logic"
 )
 
@@ -198,7 +198,7 @@
 	}
 	r.Begin(time.Hour, nil)
 	require.Zero(t, calls(time.Hour+time.Second))
-	later := time.Hour + spread.Slack + 5*time.Second
+	later := time.Hour + sharding.Slack + 5*time.Second
 	n := 0
 	for k := range 50 { // some are thinned by chance
 		n += calls(later + time.Duration(k)*20*time.Millisecond)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
 )
@@ -95,7 +95,7 @@
 		}
 		c.dialing, c.dialed = true, time.Now()
 		addr := c.addr
-		lastwords.Go(func() { c.dial(addr) })
+		crash.Go(func() { c.dial(addr) })
 	}
 }
 
@@ -152,7 +152,7 @@
 	if addr != c.addr { // moved meanwhile
 		c.set.open.Add(-1)
 		if err == nil {
-			lastwords.Go(conn.Close)
+			crash.Go(conn.Close)
 		}
 		c.tend()
 		return
@@ -229,7 +229,7 @@
 		l.client.fail(s.id, logic.Reset)
 	}
 	l.sent = nil
-	lastwords.Go(l.conn.Close)
+	crash.Go(l.conn.Close)
 	l.client.tend()
 }
 
--- a/internal/counter/set_test.go
+++ b/internal/counter/set_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/spread"
+	"bramblefall/internal/sharding"
 	"bramblefall/logic"
 )
 
@@ -192,7 +192,7 @@
 				h.took = time.Second / 660
 				list = append(list, h.addr)
 			}
-			ring := spread.New(list)
+			ring := sharding.New(list)
 			var made atomic.Int64
 			done := make(chan struct{}, b.N)
 			b.ResetTimer()
--- a/internal/lastwords/lastwords.go
+++ b/internal/crash/crash.go
@@ -1,6 +1,6 @@
-// Package lastwords makes a panic say why before the program ends: one structured line with the stack, then the exit.
+// Package crash makes a panic say why before the program ends: one structured line with the stack, then the exit.
 // Nothing is swallowed. netpoll's goroutine pool would otherwise recover a panic of ours and go on with half a state.
-package lastwords
+package crash
 
 import (
 	"fmt"
--- a/internal/lastwords/lastwords_test.go
+++ b/internal/crash/crash_test.go
@@ -1,4 +1,4 @@
-package lastwords
+package crash
 
 import (
 	"go/ast"
@@ -34,7 +34,7 @@
 		require.Equal(t, Status, ended.ExitCode(), where)
 		require.Equal(t, 1, strings.Count(string(out), "\n"), "%s: %s", where, out)
 		require.Contains(t, string(out), `no such plan\nat all`)
-		require.Contains(t, string(out), "lastwords_test.go")
+		require.Contains(t, string(out), "crash_test.go")
 	}
 }
 
@@ -68,11 +68,11 @@
 			ast.Inspect(f, func(n ast.Node) bool {
 				switch n := n.(type) {
 				case *ast.GoStmt:
-					require.Equal(t, "lastwords", dir, "a bare go statement: %s", files.Position(n.Pos()))
+					require.Equal(t, "crash", dir, "a bare go statement: %s", files.Position(n.Pos()))
 				case *ast.SelectorExpr:
 					x, _ := n.X.(*ast.Ident)
 					if x != nil && x.Name == "time" && n.Sel.Name == "AfterFunc" {
-						require.Equal(t, "lastwords", dir, "a bare timer: %s", files.Position(n.Pos()))
+						require.Equal(t, "crash", dir, "a bare timer: %s", files.Position(n.Pos()))
 					}
 					if netpoll && (n.Sel.Name == "Writer" || n.Sel.Name == "Reader") {
 						require.Equal(t, "socket", dir, "netpoll's buffers: %s", files.Position(n.Pos()))
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/wire"
 	"bramblefall/logic"
 )
@@ -191,7 +191,7 @@
 			here, end := context.WithCancel(ctx)
 			watches[n] = end
 			path := "http://" + addr + "/registry/instances?watch=1&from=" + strconv.FormatInt(c.version.Load(), 10)
-			lastwords.Go(func() { c.watch(here, ctx, n, path, words) })
+			crash.Go(func() { c.watch(here, ctx, n, path, words) })
 		case x := <-words:
 			due := false
 			switch x.kind {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/socket"
 )
 
@@ -65,7 +65,7 @@
 		}
 	}
 	p := &pulse{terms: c.terms, stalls: int(c.stalls.Load())}
-	p.timer = lastwords.AfterFunc(never, func() {
+	p.timer = crash.AfterFunc(never, func() {
 		if !p.late() {
 			say(word{kind: doubt, mid: p.mid()})
 		}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -15,7 +15,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/plans"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for clients: %w", err)
 	}
-	lastwords.Go(func() {
+	crash.Go(func() {
 		if err := events.Serve(l); err != nil {
 			slog.Debug("clients' listener ended", "err", err)
 		}
@@ -154,7 +154,7 @@
 func (f *Front) Drain() {
 	time.Sleep(drainGrace)
 	f.leaving.Store(true)
-	lastwords.Go(func() {
+	crash.Go(func() {
 		for ; ; time.Sleep(drainEvery) {
 			for _, c := range f.all() {
 				c.leave()
@@ -178,7 +178,7 @@
 }
 
 func (f *Front) accept(raw netpoll.Connection) context.Context {
-	defer lastwords.Guard()
+	defer crash.Guard()
 	now, conn := time.Now(), socket.Wrap(raw)
 	c := &clientConnection{front: f, number: f.numbers.Add(1), conn: conn, usedAt: now}
 	c.out = socket.NewOutbox(conn, c.leave, f.backlog)
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -17,7 +17,7 @@
 	"google.golang.org/grpc/status"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/logic"
 )
 
@@ -148,7 +148,7 @@
 	if client := e.client; client != nil {
 		e.client = nil
 		c.connected--
-		lastwords.Go(func() { _ = client.Close() })
+		crash.Go(func() { _ = client.Close() })
 	}
 }
 
@@ -208,9 +208,9 @@
 	origin.tried.Store(true)
 	e.out++
 	client := e.client
-	lastwords.Go(func() { c.call(ctx, e, client, origin, t.Key, p) })
+	crash.Go(func() { c.call(ctx, e, client, origin, t.Key, p) })
 	if t.Until > 0 { // a connection that is of use later must not bring a repeat that nobody drops any more
-		window := lastwords.AfterFunc(t.Until-c.now(), func() { p.withhold(logic.Timeout) })
+		window := crash.AfterFunc(t.Until-c.now(), func() { p.withhold(logic.Timeout) })
 		context.AfterFunc(ctx, func() { window.Stop() })
 	}
 }
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -24,7 +24,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/plans"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
@@ -86,7 +86,7 @@
 
 // guarded lets no panic of a call pass without its last words: the library's goroutines are none of ours.
 func guarded(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
-	defer lastwords.Guard()
+	defer crash.Guard()
 	return handle(ctx, req)
 }
 
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
-	lastwords.Go(func() { _ = f.server.Serve(netutil.LimitListener(socket.Steady(l), f.most)) })
+	crash.Go(func() { _ = f.server.Serve(netutil.LimitListener(socket.Steady(l), f.most)) })
 	return l.Addr(), nil
 }
 
--- a/internal/due/due.go
+++ b/internal/schedule/schedule.go
@@ -1,7 +1,7 @@
-// Package due keeps things by the time when something is due for them: a timing wheel in which each thing stands once and
+// Package schedule keeps things by the time when something is due for them: a timing wheel in which each thing stands once and
 // can be moved, at a cost that does not grow with what stands in it. What is due at once comes in the order of the things'
 // numbers, so that the same events give the same actions.
-package due
+package schedule
 
 import (
 	"cmp"
--- a/internal/due/due_test.go
+++ b/internal/schedule/schedule_test.go
@@ -1,4 +1,4 @@
-package due
+package schedule
 
 import (
 	"slices"
--- a/internal/spread/options_test.go
+++ b/internal/sharding/options_test.go
@@ -1,4 +1,4 @@
-package spread
+package sharding
 
 import (
 	"encoding/binary"
--- a/internal/spread/spread.go
+++ b/internal/sharding/sharding.go
@@ -1,4 +1,4 @@
-// Package spread deals the names of counts out to several quota counters, and hands them over when the list of counters changes.
+// Package sharding deals the names of counts out to several quota counters, and hands them over when the list of counters changes.
 // It is pure: no I/O and no clock.
 //
 // A name stands on the counter that rendezvous hashing finds for it, so one that comes or goes moves only its share. Limiters
@@ -7,7 +7,7 @@
 // the former counter's total is the whole truth, and the larger of both is believed. Where the former counter is lost, what it
 // told last is believed, and what has come to the new one since. A limiter that knows neither counts nothing under that name,
 // and its firm falls back to the even part. Names that begin later than Slack after the change stand on the new counter alone.
-package spread
+package sharding
 
 import (
 	"encoding/binary"
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -24,7 +24,7 @@
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 )
 
 // Conn is a connection whose use cannot meet its end.
@@ -71,7 +71,7 @@
 	c.ended = ended
 	// The end first: without a reader netpoll leaves it to us to close, so none is missed between the two.
 	_ = c.raw.AddCloseCallback(func(netpoll.Connection) error {
-		defer lastwords.Guard()
+		defer crash.Guard()
 		c.last()
 		c.mu.Lock()
 		c.over = true // netpoll's own callback, which closes the descriptor, comes after this one
@@ -80,7 +80,7 @@
 		return nil
 	})
 	_ = c.raw.SetOnRequest(func(context.Context, netpoll.Connection) error {
-		defer lastwords.Guard() // netpoll's pool of goroutines would recover a panic and go on
+		defer crash.Guard() // netpoll's pool of goroutines would recover a panic and go on
 		ready()
 		return nil
 	})
@@ -157,7 +157,7 @@
 	c.told = true
 	c.mu.Unlock()
 	if first {
-		lastwords.Go(c.ended)
+		crash.Go(c.ended)
 	}
 }
 
--- a/internal/socket/outbox.go
+++ b/internal/socket/outbox.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 )
 
 // Most is how many bytes may wait for one peer where all peers' share is used up. Who is to get more has to be told less.
@@ -167,7 +167,7 @@
 func (o *Outbox) start() {
 	if !o.flushing {
 		o.flushing = true
-		lastwords.Go(o.flush)
+		crash.Go(o.flush)
 	}
 }
 
@@ -194,7 +194,7 @@
 		lingers := !o.broken
 		o.broken = true
 		o.discard()
-		lastwords.Go(func() { // in its own goroutine: close callbacks take their owners' locks
+		crash.Go(func() { // in its own goroutine: close callbacks take their owners' locks
 			if lingers {
 				o.linger()
 			}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -16,7 +16,7 @@
 	"sync"
 	"time"
 
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/plans"
 )
 
@@ -134,7 +134,7 @@
 	}
 	if !d.writing {
 		d.writing = true
-		lastwords.Go(d.write)
+		crash.Go(d.write)
 	}
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"bramblefall/internal/core"
-	"bramblefall/internal/lastwords"
+	"bramblefall/internal/crash"
 	"bramblefall/internal/resp"
 	"bramblefall/internal/socket"
 	"bramblefall/internal/wire"
@@ -251,7 +251,7 @@
 		return
 	}
 	p.open++
-	lastwords.Go(func() { p.dial(f) })
+	crash.Go(func() { p.dial(f) })
 }
 
 // short ends a flight for which no descriptor, port or buffer is left. The server is not to blame.
@@ -333,7 +333,7 @@
 		return
 	}
 	c.conn.WriteLimit(min(writeLimit, max(f.until-p.now(), time.Millisecond)))
-	lastwords.Go(func() {
+	crash.Go(func() {
 		err := c.conn.Write(text)
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -386,7 +386,7 @@
 		c.closed = true
 		c.whole()
 		p.open--
-		lastwords.Go(c.conn.Close) // it waits for a write under way
+		crash.Go(c.conn.Close) // it waits for a write under way
 	}
 }
 
@@ -442,7 +442,7 @@
 		return
 	}
 	var begun *time.Timer
-	begun = lastwords.AfterFunc(d, func() {
+	begun = crash.AfterFunc(d, func() {
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
 		if c.begun != begun {
--- a/logic/customers.go
+++ b/logic/customers.go
@@ -4,13 +4,13 @@
 	"math"
 	"time"
 
-	"bramblefall/internal/due"
+	"bramblefall/internal/schedule"
 )
 
 // What is known of customers: their stores, intervals and counts, and what is kept of those that are quiet.
 
 type customer struct {
-	due.Place
+	schedule.Place
 	id                      uint64
 	plan                    Plan
 	tier, figured           int           // its tier's number; the change that plan is from
@@ -173,7 +173,7 @@
 }
 
 // Due is a customer's place among those that something is due for.
-func (c *customer) Due() *due.Place { return &c.Place }
+func (c *customer) Due() *schedule.Place { return &c.Place }
 
 func (g *Gateway) add(c *customer) {
 	g.numbered++
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -357,7 +357,7 @@
 		}
 		for _, imp := range parsed.Imports {
 			path := strings.Trim(imp.Path.Value, `"`)
-			if path == "bramblefall/internal/due" { // a structure, which decides nothing
+			if path == "bramblefall/internal/schedule" { // a structure, which decides nothing
 				continue
 			}
 			if strings.Contains(path, "bramblefall") || strings.Contains(path, ".") {
--- a/logic/state.go
+++ b/logic/state.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"bramblefall/internal/due"
+	"bramblefall/internal/schedule"
 )
 
 // The records that the decisions in logic.go work on, and helpers that decide nothing.
@@ -72,10 +72,10 @@
 	tokens            map[uint32]*request
 	nextToken         uint32
 	customers         map[uint64]*customer
-	firms             due.Queue[*customer] // each customer by the time when something is due for it
-	numbered          uint64               // customers so far
-	resting, rested   map[uint64]rest      // customers that are quiet: of late, and those before
-	turned            time.Duration        // the last time that those before were forgotten
+	firms             schedule.Queue[*customer] // each customer by the time when something is due for it
+	numbered          uint64                    // customers so far
+	resting, rested   map[uint64]rest           // customers that are quiet: of late, and those before
+	turned            time.Duration             // the last time that those before were forgotten
 	servers           map[ServerID]*server
 	*fleet            // of group 0, the only one in the simulator
 	fleets            []*fleet
