--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"container/list"
 	"context"
 	"log/slog"
 	"sync"
@@ -41,6 +42,7 @@
 	mu        sync.Mutex
 	endpoints map[logic.ServerID]*endpoint
 	connected int
+	unused    list.List // of *endpoint: connected ones without a call, the one unused longest at the front
 	tries     map[core.Key]*pending
 }
 
@@ -49,9 +51,9 @@
 	addr      string
 	client    *grpc.ClientConn // nil: none is needed yet
 	out       int              // calls on it
-	used      time.Time
-	withdrawn bool // it drains or is removed: no call begins any more
-	removed   bool // it is forgotten when its last call ends
+	rests     *list.Element    // among the unused ones; nil: it is not connected, or has calls
+	withdrawn bool             // it drains or is removed: no call begins any more
+	removed   bool             // it is forgotten when its last call ends
 }
 
 // pending is a try that is out.
@@ -127,27 +129,45 @@
 	}
 	e.client = client
 	c.connected++
+	e.rests = c.unused.PushBack(e)
 	return logic.OK
 }
 
 // evict gives up the connection that has been unused longest.
 func (c *Caller) evict() bool {
-	var oldest *endpoint
-	for _, e := range c.endpoints {
-		if e.client != nil && e.out == 0 && (oldest == nil || e.used.Before(oldest.used)) {
-			oldest = e
-		}
-	}
+	oldest := c.unused.Front()
 	if oldest != nil {
-		c.hangUp(oldest)
+		c.hangUp(oldest.Value.(*endpoint))
 	}
 	return oldest != nil
 }
 
+// begin and end count the calls on an endpoint.
+func (c *Caller) begin(e *endpoint) {
+	e.out++
+	c.wake(e)
+}
+
+func (c *Caller) end(e *endpoint) {
+	if e.out--; e.out == 0 && e.client != nil {
+		e.rests = c.unused.PushBack(e)
+	}
+	c.forgetUnused(e)
+}
+
+// wake takes an endpoint from the unused ones, if it is among them.
+func (c *Caller) wake(e *endpoint) {
+	if e.rests != nil {
+		c.unused.Remove(e.rests)
+		e.rests = nil
+	}
+}
+
 func (c *Caller) hangUp(e *endpoint) {
 	if client := e.client; client != nil {
 		e.client = nil
 		c.connected--
+		c.wake(e)
 		crash.Go(func() { _ = client.Close() })
 	}
 }
@@ -206,7 +226,7 @@
 	p.cancel = cancel
 	c.tries[t.Key] = p
 	origin.tried.Store(true)
-	e.out++
+	c.begin(e)
 	client := e.client
 	crash.Go(func() { c.call(ctx, e, client, origin, t.Key, p) })
 	if t.Until > 0 { // a connection that is of use later must not bring a repeat that nobody drops any more
@@ -222,8 +242,7 @@
 		HitsAddend: uint32(origin.Units)})
 	c.mu.Lock()
 	delete(c.tries, key)
-	e.out, e.used = e.out-1, time.Now()
-	c.forgetUnused(e)
+	c.end(e)
 	c.mu.Unlock()
 	o := core.Outcome{Key: key, Status: p.outcome(err), Value: answer}
 	if code := answer.GetOverallCode(); err == nil && code != rlsv3.RateLimitResponse_OK &&
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,8 +4,10 @@
 
 import (
 	"bytes"
+	"container/list"
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +51,7 @@
 	targets map[logic.ServerID]*target
 	tries   map[core.Key]*flight
 	open    int
+	resting list.List // of *connection: the idle ones of all targets, the one idle longest at the front
 	told    time.Time // the last word on descriptors in the log
 }
 
@@ -86,9 +89,10 @@
 	parser resp.Parser // owned by the reading side
 	flight *flight     // nil: idle
 	closed bool
-	since  time.Time   // idle since
-	begun  *time.Timer // ends the wait for the rest of an answer; nil: none has begun
-	heard  time.Time   // the last byte of it
+	since  time.Time     // idle since
+	rests  *list.Element // among the pool's idle ones; nil: it is in use
+	begun  *time.Timer   // ends the wait for the rest of an answer; nil: none has begun
+	heard  time.Time     // the last byte of it
 }
 
 // New makes a pool that holds so many connections at most.
@@ -123,13 +127,19 @@
 func (p *Pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, t := range p.targets {
-		for len(t.idle) > 0 && time.Since(t.idle[0].since) >= p.idle {
-			p.drop(t.idle[0])
-		}
+	for oldest := p.oldest(); oldest != nil && time.Since(oldest.since) >= p.idle; oldest = p.oldest() {
+		p.drop(oldest)
 	}
 }
 
+// oldest is the connection that has been idle longest; nil: none is idle.
+func (p *Pool) oldest() *connection {
+	if front := p.resting.Front(); front != nil {
+		return front.Value.(*connection)
+	}
+	return nil
+}
+
 // SetAddress says where a server listens. A changed address makes the old connections useless.
 func (p *Pool) SetAddress(id logic.ServerID, addr string) {
 	p.mu.Lock()
@@ -242,7 +252,7 @@
 			p.drop(c)
 			continue
 		}
-		f.target.idle = append(f.target.idle[:n], f.target.idle[n+1:]...)
+		p.wake(c)
 		p.write(c, f)
 		return
 	}
@@ -265,12 +275,7 @@
 
 // evict closes the connection that has been idle longest, to make room for a new one.
 func (p *Pool) evict() bool {
-	var oldest *connection
-	for _, t := range p.targets {
-		if len(t.idle) > 0 && (oldest == nil || t.idle[0].since.Before(oldest.since)) {
-			oldest = t.idle[0]
-		}
-	}
+	oldest := p.oldest()
 	if oldest != nil {
 		p.drop(oldest)
 	}
@@ -372,16 +377,23 @@
 	}
 	c.since = time.Now()
 	c.target.idle = append(c.target.idle, c)
+	c.rests = p.resting.PushBack(c)
+}
+
+// wake takes a connection from the idle ones, if it is among them.
+func (p *Pool) wake(c *connection) {
+	if c.rests == nil {
+		return
+	}
+	p.resting.Remove(c.rests)
+	c.rests = nil
+	at := slices.Index(c.target.idle, c)
+	c.target.idle = slices.Delete(c.target.idle, at, at+1)
 }
 
 // drop closes a connection and forgets it.
 func (p *Pool) drop(c *connection) {
-	for k, x := range c.target.idle {
-		if x == c {
-			c.target.idle = append(c.target.idle[:k], c.target.idle[k+1:]...)
-			break
-		}
-	}
+	p.wake(c)
 	if !c.closed {
 		c.closed = true
 		c.whole()
