Soak: callers of the gRPC front live beside the RESP2 clients

The soak's clients were RESP2 alone. Four callers make one call after the other over one connection each until the limiter has gone; their calls go on to endpoints of another service, which answer late, fail, or hang from the planned restart on.

--- a/cmd/bramblefall/soak_test.go
+++ b/cmd/bramblefall/soak_test.go
@@ -45,6 +45,8 @@
 	mu       sync.Mutex
 	requests map[string]*soaked
 	findings []string
+	verdicts int // of calls
+	overdue  int // calls whose time was over
 }
 
 // soaked is what is known of a request.
@@ -261,8 +263,9 @@
 }
 
 func (s *soak) live() {
+	calls := second(s.t, (&others{answer: s.endpoint}).listenOn(s.t, 2)...)
 	s.fleet = startFleet(s.t, 4, func(f *fleet, _ int, config object) {
-		f.args = []string{"-log", "debug"}
+		f.args = []string{"-log", "debug", "-ratelimit", calls}
 		set := config["settings"].(object)
 		class(set, 0, object{"deadline": s.deadline.Seconds(), "aim": s.deadline.Seconds() / 2})
 		class(set, 1, object{"deadline": s.deadline.Seconds(), "aim": s.deadline.Seconds() / 2, "semantics": s.effect})
@@ -277,6 +280,9 @@
 	for k := range 12 {
 		clients.Go(func() { s.client(rand.New(rand.NewPCG(s.seed, uint64(k))), l.Addr) })
 	}
+	for k := range soakCallers {
+		clients.Go(func() { s.caller(rand.New(rand.NewPCG(s.seed, uint64(100+k))), l.GRPCAddr) })
+	}
 	if crowded {
 		clients.Go(func() { s.crowd(l.Addr) })
 	}
@@ -318,7 +324,8 @@
 	}
 	found, _ := s.world.Audit.Findings()
 	s.findings = append(s.findings, found...)
-	s.t.Logf("seed %d: %d sent, %d taken, %d answered, %d findings", s.seed, len(s.requests), taken, answered, len(s.findings))
+	s.t.Logf("seed %d: %d sent, %d taken, %d answered; %d calls with a verdict, %d whose time was over; %d findings", s.seed, len(s.requests), taken, answered,
+		s.verdicts, s.overdue, len(s.findings))
 }
 
 // ofItsConnection is what the log says of the connection of a request, and of its tries.
