Test: repeats that no server may take cost the same with many servers (red)

A keyed repeat may only go to its zone, so window gives it all servers, and dispatch looks for one at each event. A zone lost at the largest fleets would fill the loop.

--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -354,3 +354,62 @@
 		}
 	}
 }
+
+// Keyed repeats that no server may take, since all of their zone drain, wait at the same cost however long the list is: each
+// event looks whether one of them may leave.
+func TestRepeatsThatNobodyMayTakeCostTheSameWithManyServers(t *testing.T) {
+	const few, many = 200, 40000
+	spent := func(servers int) time.Duration {
+		set := testSettings()
+		set.Gateways = 20
+		const keyed = 1
+		c := &set.Classes[keyed]
+		c.KeyGroup, c.KeyTTL, c.Deadline, c.Aim = GroupZone, 12*time.Second, 6*time.Second, 4*time.Second
+		all := ready(servers)
+		for k := range all {
+			all[k].Zone = k % 2
+		}
+		b := newBench(t, set, all...)
+		b.run(time.Second, nil)
+		var out []*played
+		for k := range 40 {
+			if p := b.arrive(Request{Class: keyed, Customer: uint64(k), Units: 1, TTL: 5 * time.Second}); p.out {
+				out = append(out, p)
+			}
+			b.run(ms, nil)
+		}
+		var drains ServerList
+		for _, s := range all {
+			if s.Zone == 0 {
+				s.State = Draining
+				drains.Servers = append(drains.Servers, s)
+			}
+		}
+		b.list(drains)
+		for _, p := range out {
+			b.end(p, Reset)
+		}
+		waiting := 0
+		for _, r := range b.g.queue {
+			if r.ran {
+				waiting++
+			}
+		}
+		if waiting < 5 {
+			t.Fatalf("%d repeats wait", waiting)
+		}
+		begun := time.Now()
+		for k := range 50 {
+			b.arrive(Request{Customer: uint64(1000 + k), Units: 1})
+		}
+		return time.Since(begun) / 50
+	}
+	least, most := spent(few), spent(many)
+	for range 2 { // what else the machine does counts for neither
+		least, most = min(least, spent(few)), min(most, spent(many))
+	}
+	t.Logf("%v a request with %d servers, %v with %d", least, few, most, many)
+	if most > 20*least {
+		t.Errorf("%v a request with %d servers, %v with %d", least, few, most, many)
+	}
+}
