Repeats that no server of their zone may take cost no walk

Cause: window gave a keyed repeat the whole list, and best passed over each server of another zone, not ready, or left out. Whether any may take it is counted now: halls know how many of their servers are ready, and usable (that they knew). Where none is, window gives none.

Repeats within a cell still walk: no index by cell.

--- a/logic/due_test.go
+++ b/logic/due_test.go
@@ -137,6 +137,7 @@
 	f := g.fleet
 	var busy, usable, power float64
 	var list, working, cold []*server
+	readyIn := map[int]int{}
 	for _, id := range slices.Sorted(maps.Keys(g.servers)) {
 		s := g.servers[id]
 		if len(s.work) > 0 {
@@ -151,6 +152,9 @@
 		if list = append(list, s); s.State == Ready && !s.ejected && !f.lost(s.Zone, g.now) {
 			busy, usable, power = busy+float64(s.out), usable+1, power+max(g.warmth(s), 1-g.blind)
 		}
+		if s.State == Ready {
+			readyIn[s.Zone]++
+		}
 		if !s.warm && s.Started+g.set.Cold <= g.ticked {
 			t.Fatalf("server %d is warm and still counted as cold", s.ID)
 		}
@@ -158,6 +162,11 @@
 			cold = append(cold, s)
 		}
 	}
+	for zone, h := range f.halls {
+		if h.ready != readyIn[zone] {
+			t.Fatalf("zone %d: %d servers are counted as ready, %d are", zone, h.ready, readyIn[zone])
+		}
+	}
 	was := [...]float64{f.busy, f.usable, f.power}
 	f.count(g)
 	is := [...]float64{f.busy, f.usable, f.power}
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -21,7 +21,8 @@
 	startedAt              time.Duration // Started, by this gateway's time
 	cold                   float64       // budget of attempts while cold
 	coldAt                 time.Duration
-	hall                   *hall // that counts it; nil: it is not usable
+	hall                   *hall // that counts it as usable; nil: it is not
+	ready                  *hall // that counts it as ready, whether it is left out or not; nil: it is not
 	warm                   bool  // as it is counted
 }
 
@@ -50,6 +51,7 @@
 	silent            int
 	at                time.Duration
 	usable, warm, out int
+	ready             int // usable or left out
 }
 
 func (f *fleet) hall(zone int) *hall {
@@ -111,6 +113,13 @@
 		s.hall = f.hall(s.Zone)
 		s.hall.add(s, 1)
 	}
+	if s.ready != nil {
+		s.ready.ready--
+	}
+	if s.ready = nil; s.listed && s.State == Ready {
+		s.ready = f.hall(s.Zone)
+		s.ready.ready++
+	}
 	f.cold = with(f.cold, s, byID, s.listed && !warm)
 }
 
@@ -230,9 +239,12 @@
 const enough = 16 // usable servers of a long list: the best of so many is hardly worse than the best of all
 
 // window is the servers that are looked at for a request: all, or a part of a long list. A repeat that few servers may
-// take needs all of them.
+// take needs all of them, or none where its zone has none for it.
 func (g *Gateway) window(r *request) []*server {
 	list := r.fleet.list
+	if r.ran && r.class.Effect == Keyed && r.class.KeyGroup == GroupZone && r.fleet.without(r.keyServer.Zone) {
+		return nil
+	}
 	if len(list) <= mostLooked || r.ran && r.class.Effect == Keyed {
 		return list
 	}
@@ -247,6 +259,15 @@
 	return part
 }
 
+// without tells whether no server of a zone may take a repeat, however it is chosen.
+func (f *fleet) without(zone int) bool {
+	h := f.hall(zone)
+	return h.ready == 0 || h.usable == 0 && !f.desperate()
+}
+
+// desperate tells that most servers look bad: the fault may be this process's own.
+func (f *fleet) desperate() bool { return 2*f.usable < float64(len(f.list)) }
+
 // group finds an upstream group's fleet. Groups are few and numbered from 0.
 func (g *Gateway) group(n int) *fleet {
 	for len(g.fleets) <= n {
