Only a zone without a ready server spares a repeat its walk

It said that the choice stays the same, request for request; that is wrong: best draws a random number for a ready server that is left out before it passes it over, and without the walk over a zone that is all left out these draws are missing. The choices' reasons are the same, their luck is not.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -990,7 +990,7 @@
 func (g *Gateway) best(r *request, list []*server, drawn bool) (best *server) {
 	low := math.Inf(1)
 	room := g.hasRoom(r.fleet)
-	desperate := r.fleet.desperate()
+	desperate := 2*r.fleet.usable < float64(len(r.fleet.list)) // most look bad: the fault may be ours
 	for _, s := range list {
 		w := g.warmth(s)
 		if s.State != Ready || !g.sameGroup(r, s) || !room || float64(s.out) >= math.Ceil(r.fleet.limit) ||
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -239,13 +239,14 @@
 const enough = 16 // usable servers of a long list: the best of so many is hardly worse than the best of all
 
 // window is the servers that are looked at for a request: all, or a part of a long list. A repeat that few servers may
-// take needs all of them, or none where its zone has none for it.
+// take needs all of them, or none where none of its zone is ready.
 func (g *Gateway) window(r *request) []*server {
 	list := r.fleet.list
-	if r.ran && r.class.Effect == Keyed && r.class.KeyGroup == GroupZone && r.fleet.without(r.keyServer.Zone) {
+	keyed := r.ran && r.class.Effect == Keyed
+	if keyed && r.class.KeyGroup == GroupZone && r.fleet.hall(r.keyServer.Zone).ready == 0 {
 		return nil
 	}
-	if len(list) <= mostLooked || r.ran && r.class.Effect == Keyed {
+	if keyed || len(list) <= mostLooked {
 		return list
 	}
 	part := make([]*server, 0, mostLooked)
@@ -259,15 +260,6 @@
 	return part
 }
 
-// without tells whether no server of a zone may take a repeat, however it is chosen.
-func (f *fleet) without(zone int) bool {
-	h := f.hall(zone)
-	return h.ready == 0 || h.usable == 0 && !f.desperate()
-}
-
-// desperate tells that most servers look bad: the fault may be this process's own.
-func (f *fleet) desperate() bool { return 2*f.usable < float64(len(f.list)) }
-
 // group finds an upstream group's fleet. Groups are few and numbered from 0.
 func (g *Gateway) group(n int) *fleet {
 	for len(g.fleets) <= n {
