--- a/cmd/bramblefall/fault_test.go
+++ b/cmd/bramblefall/fault_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,11 +86,27 @@
 		return tally, fmt.Sprintf("%d descriptors at rest: %v", held, err)
 	}
 	if n, err := l.Goroutines(); err != nil || n > restless {
-		return tally, fmt.Sprintf("%d goroutines at rest: %v\n%s", n, err, l.Log())
+		return tally, fmt.Sprintf("%d goroutines at rest: %v\n%s\n%s", n, err, whereGoroutinesBegan(l.Log()), l.Log())
 	}
 	return tally, ""
 }
 
+// whereGoroutinesBegan counts the goroutines of a dump by where they were started.
+func whereGoroutinesBegan(dump string) string {
+	counts := map[string]int{}
+	for line := range strings.Lines(dump) {
+		if _, begun, ok := strings.Cut(line, "created by "); ok {
+			begun, _, _ = strings.Cut(begun, " in goroutine")
+			counts[strings.TrimSpace(begun)]++
+		}
+	}
+	var list strings.Builder
+	for _, begun := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(&list, "%d begun in %s\n", counts[begun], begun)
+	}
+	return list.String()
+}
+
 func TestNoFaultOfAPeerCrashesOrLeaksOrMixesUp(t *testing.T) {
 	seed, scripts := fromEnv("BRAMBLEFALL_SEED", 1), fromEnv("BRAMBLEFALL_SCRIPTS", faultScripts)
 	binary := raceBinary(t)
