Fleet restart test: a foreign value names its connection, its address's owner and takers

The message named only the request, so it could not be told whether the answer came through a limiter (a foreign answer of the product) or from another process at the address of one that had ended. The test now says over which connection the value came, whose address that was, and how many of the limiters' logs name the request as taken. What it checks is the same.

Not mended here.

--- a/cmd/bramblefall/rolling_test.go
+++ b/cmd/bramblefall/rolling_test.go
@@ -102,7 +102,7 @@
 	if err == nil && line[0] == '$' {
 		value := ""
 		if value, err = in.ReadString('\n'); err == nil && value != id+"\r\n" {
-			err = fmt.Errorf("the value %q for request %s", value, id)
+			err = fmt.Errorf("the value %q for request %s, from %s at %s", value, id, conn.RemoteAddr(), conn.LocalAddr())
 		}
 	}
 	r.mu.Lock()
@@ -124,6 +124,22 @@
 	return words
 }
 
+// traceOf tells which limiters had the addresses that a finding names, and which log the request as taken.
+func (r *rolling) traceOf(finding string) string {
+	trace, takers := "", 0
+	for life, l := range r.all {
+		if strings.Contains(finding, l.Addr+" ") {
+			trace += fmt.Sprintf("\n  %s was life %d's: %v", l.Addr, life, l.Cmd.ProcessState)
+		}
+		for _, taken := range takenID.FindAllStringSubmatch(l.Log(), -1) {
+			if strings.Contains(finding, taken[1]) {
+				takers++
+			}
+		}
+	}
+	return trace + fmt.Sprintf("\n  %d of %d lives log the request as taken", takers, len(r.all))
+}
+
 var takenID = regexp.MustCompile(`msg=taken id=(\S+)`)
 
 // A dozen limiters are restarted a few at a time, some of which stand still over the steps of it, while clients open
@@ -171,6 +187,9 @@
 	close(stop)
 	asking.Wait()
 	found, times := r.world.Audit.Findings()
+	for k := range found {
+		found[k] += r.traceOf(found[k])
+	}
 	require.Zero(t, times, strings.Join(found, "\n"))
 	taken, lost := 0, []string(nil)
 	for k, l := range r.all {
