--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -135,7 +135,7 @@
 	truth := NewTruth(1)
 	send := func(from float64, n int, every float64) {
 		for k := range n {
-			truth.sends[0] = append(truth.sends[0], began.Add(time.Duration((from+float64(k)*every)*float64(time.Second))))
+			truth.sends[0] = append(truth.sends[0], Send{At: began.Add(time.Duration((from + float64(k)*every) * float64(time.Second)))})
 		}
 	}
 	send(0, 30, 0.1) // ten a second for three seconds: inside while one limiter holds the old figures
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -44,9 +44,12 @@
 // End is what became of a try.
 type End struct {
 	Try
-	Kind  Kind
-	At    time.Time
-	After time.Duration // of a refusal
+	Kind    Kind
+	At      time.Time
+	After   time.Duration // of a refusal
+	Sent    time.Time
+	Limiter int
+	Call    bool // over gRPC
 }
 
 // Firm is a member firm as the load has it.
@@ -188,13 +191,13 @@
 			}
 		}
 		l.mu.Unlock()
-		e := End{Try: try}
+		e := End{Try: try, Sent: time.Now(), Limiter: to % len(l.limiters), Call: call}
 		left := time.Until(try.Due.Add(c.Deadline))
 		wait := left
 		if n > 0 && l.Clients.GiveUp[1] > 0 {
 			wait = min(left, time.Duration((l.Clients.GiveUp[0]+(l.Clients.GiveUp[1]-l.Clients.GiveUp[0])*rng.Float64())*float64(c.Deadline)))
 		}
-		t := l.limiters[to%len(l.limiters)]
+		t := l.limiters[e.Limiter]
 		if call {
 			e.Kind, e.After = l.call(t, f, c, wait)
 		} else {
@@ -254,7 +257,7 @@
 	if again {
 		terms += ",r=1"
 	}
-	args := [][]byte{[]byte("Q.ASK"), fmt.Appendf(nil, "%016x", f.ID), fmt.Appendf(nil, "%016x", id), nil}
+	args := [][]byte{[]byte("Q.ASK"), fmt.Appendf(nil, "%016x", f.ID), []byte(requestID(id)), nil}
 	if c.Keyed {
 		terms += fmt.Sprintf(",k=%016x", id)
 		args = append(args, []byte("b"))
@@ -280,6 +283,9 @@
 	}
 }
 
+// requestID is a request's id as it goes out.
+func requestID(id uint64) string { return fmt.Sprintf("%016x", id) }
+
 // exchange writes a command and reads its answer. silent: the connection ended without a byte.
 func (w *wire) exchange(command []byte, wait time.Duration) (kind Kind, after time.Duration, silent bool) {
 	_ = w.conn.SetDeadline(time.Now().Add(max(wait, 0) + time.Second))
--- a/internal/lab/plans.go
+++ b/internal/lab/plans.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -82,7 +81,7 @@
 	byID    map[uint64]int
 	ends    [Unanswered + 1]int
 	refused []refusal
-	cutOK   bool // a limiter is killed: what it held is cut off
+	trace   *trace
 }
 
 type refusal struct {
@@ -177,7 +176,7 @@
 		return nil, err
 	}
 	fleet.World.Unchecked = true // the truth is kept here, by firm
-	r.fleet = fleet
+	r.fleet, r.trace = fleet, newTrace()
 	for k := range firms {
 		tier := tiers[[]int{0, 0, 0, 0, 1, 1, 1, 2, 2, 2}[k%10]]
 		f := &Firm{ID: 0x1000 + r.rng.Uint64N(1<<32), Tier: tier.Name, Spread: 2 + r.rng.IntN(2), First: r.rng.IntN(planLimiters),
@@ -196,6 +195,7 @@
 	fleet.Load.Classes = []Class{{Name: "balance-read", Share: 1, Deadline: planWait}}
 	fleet.Load.Ended = func(e End) {
 		r.ends[e.Kind]++
+		r.trace.ended(e)
 		switch e.Kind {
 		case Admitted:
 			r.truth.Sent(e.Firm, "")
@@ -242,6 +242,7 @@
 		return 0, err
 	}
 	defer r.fleet.Close()
+	defer r.trace.end()
 	spender := r.spender()
 	began := time.Now()
 	run, stop := context.WithTimeout(ctx, length)
@@ -382,7 +383,7 @@
 	}
 	versions := &Table{Name: "plans-versions", Head: []string{"version", "scale", "tier", "units in the second after", "beyond, % of the larger plan", "in force after ms"}}
 	tiers := &Table{Name: "plans-tiers", Head: []string{"tier", "units sent on", "beyond quota %", "ceiling overshoot units", "refused", "refused with room"}}
-	worst, worstCeiling := 0.0, 0.0
+	worst, worstCeiling, overCeiling := 0.0, 0.0, ""
 	lines := map[string]plotter.XYs{}
 	names := []string{"associate", "regular", "full"}
 	sent, beyond, firms := map[string][]float64{}, map[string][]float64{}, map[string]float64{}
@@ -401,6 +402,9 @@
 			}
 			v := r.truth.Judge(k, tier, figures, began, graceAfter, reserved, windows)
 			all.Sent, all.Beyond, all.Over = all.Sent+v.Sent, all.Beyond+v.Beyond, max(all.Over, v.Over)
+			if v.Over > 0 {
+				overCeiling += r.trace.worst(f, v)
+			}
 			for w := range windows {
 				all.BeyondIn[w] += v.BeyondIn[w]
 				all.SentIn[w] += v.SentIn[w]
@@ -424,8 +428,9 @@
 		}
 		result.bar(c.holds <= graceAfter, "version %d was in force only after %s", c.version.Number, c.holds)
 	}
-	result.rule(worstCeiling <= 0, "the ceiling with its slack was passed by %.2f units", worstCeiling)
-	result.rule(r.ends[Unanswered] == 0 && r.ends[Cut] == 0, "%d requests without a final answer, %d cut off", r.ends[Unanswered], r.ends[Cut])
+	result.rule(worstCeiling <= 0, "the ceiling with its slack was passed by %.2f units%s", worstCeiling, overCeiling)
+	result.rule(r.ends[Unanswered] == 0 && r.ends[Cut] == 0, "%d requests without a final answer, %d cut off%s", r.ends[Unanswered], r.ends[Cut],
+		r.trace.requests(r.fleet.Load.Firms))
 	result.bar(used >= 0.97*units, "a reservation of %.0f units gave %.0f", units, used)
 	result.rule(used <= units+1e-6, "a reservation of %.0f units gave %.0f", units, used)
 	result.bar(len(changes) > 0, "no version was given out")
@@ -452,19 +457,16 @@
 
 // refusals counts a firm's refusals, and those with half of its store unused at that moment.
 func (r *plansRun) refusals(firm int, tier string, f Figures, began time.Time) (all, room int) {
-	r.truth.mu.Lock()
-	sends := slices.Clone(r.truth.sends[firm])
-	r.truth.mu.Unlock()
-	slices.SortFunc(sends, func(a, b time.Time) int { return a.Compare(b) })
+	sends := r.truth.of(firm)
 	p := f.At(tier, began)
 	s, k := store{p.Burst, began}, 0
 	for _, x := range r.refused {
 		if x.firm != firm {
 			continue
 		}
-		for ; k < len(sends) && sends[k].Before(x.at); k++ {
-			p = f.At(tier, sends[k])
-			s.fill(sends[k], p.Rate, p.Burst)
+		for ; k < len(sends) && sends[k].At.Before(x.at); k++ {
+			p = f.At(tier, sends[k].At)
+			s.fill(sends[k].At, p.Rate, p.Burst)
 			s.level--
 		}
 		p = f.At(tier, x.at)
@@ -483,6 +485,7 @@
 		return err
 	}
 	defer r.fleet.Close()
+	defer r.trace.end()
 	spender := r.spender()
 	began := time.Now()
 	run, stop := context.WithTimeout(ctx, length)
@@ -513,9 +516,7 @@
 	if err = errors.Join(err, r.fleet.Crash()); err != nil {
 		return err
 	}
-	r.truth.mu.Lock()
-	sent := float64(len(r.truth.sends[r.byID[spender.ID]]))
-	r.truth.mu.Unlock()
+	sent := float64(len(r.truth.of(r.byID[spender.ID])))
 	tier := planTiers(1)[1]
 	ended := time.Since(began).Seconds()
 	quota := tier.Burst + tier.Rate*ended + tier.Burst/planLimiters // a limiter that starts again has its store's part anew
@@ -527,6 +528,6 @@
 	t.Add("stated bound", bound)
 	result.Tables = append(result.Tables, t)
 	result.rule(sent <= bound, "with a limiter killed and the counter wiped %.0f units were sent on, the bound is %.0f", sent, bound)
-	result.rule(r.ends[Unanswered] == 0, "%d requests without a final answer", r.ends[Unanswered])
+	result.rule(r.ends[Unanswered] == 0, "%d requests without a final answer%s", r.ends[Unanswered], r.trace.requests(r.fleet.Load.Firms))
 	return nil
 }
--- a/internal/lab/truth.go
+++ b/internal/lab/truth.go
@@ -13,12 +13,18 @@
 type Truth struct {
 	mu    sync.Mutex
 	seen  map[string]struct{} // ids: a further attempt of a request is no further send
-	sends [][]time.Time       // by firm
+	sends [][]Send            // by firm
+}
+
+// Send is a first send of a request, as the node that got it saw it.
+type Send struct {
+	At      time.Time
+	Request string // id; "": let in over gRPC
 }
 
 // NewTruth makes one for so many firms.
 func NewTruth(firms int) *Truth {
-	return &Truth{seen: map[string]struct{}{}, sends: make([][]time.Time, firms)}
+	return &Truth{seen: map[string]struct{}{}, sends: make([][]Send, firms)}
 }
 
 // Sent notes a send of a request; id "" is always a first.
@@ -32,7 +38,7 @@
 		}
 		t.seen[id] = struct{}{}
 	}
-	t.sends[firm] = append(t.sends[firm], now)
+	t.sends[firm] = append(t.sends[firm], Send{now, id})
 }
 
 // Period is a time in which figures were in force at a limiter.
@@ -63,6 +69,15 @@
 	return p
 }
 
+// of is the sends of a firm in the order of time.
+func (t *Truth) of(firm int) []Send {
+	t.mu.Lock()
+	sends := slices.Clone(t.sends[firm])
+	t.mu.Unlock()
+	slices.SortFunc(sends, func(a, b Send) int { return a.At.Compare(b.At) })
+	return sends
+}
+
 // store is a firm's, as one limiter that sees all would keep it.
 type store struct {
 	level float64
@@ -78,6 +93,7 @@
 type Verdict struct {
 	Sent, Beyond float64
 	Over         float64 // units over the ceiling with its slack, at the worst
+	Worst        Send    // the one that brought Over
 	BeyondIn     []float64
 	SentIn       []float64
 }
@@ -85,10 +101,6 @@
 // Judge plays a firm's sends against its figures; grace is how much longer the figures before a change count, and
 // reserved units count as inside. windows are looked at by themselves.
 func (t *Truth) Judge(firm int, tier string, f Figures, began time.Time, grace time.Duration, reserved float64, windows [][2]time.Time) Verdict {
-	t.mu.Lock()
-	sends := slices.Clone(t.sends[firm])
-	t.mu.Unlock()
-	slices.SortFunc(sends, func(a, b time.Time) int { return a.Compare(b) })
 	largest := func(at time.Time) logic.Plan {
 		now, before := f.At(tier, at), f.At(tier, at.Add(-grace))
 		now.Rate, now.Burst = max(now.Rate, before.Rate), max(now.Burst, before.Burst)
@@ -100,7 +112,8 @@
 	quota, ceiling := store{p.Burst, began}, store{p.CeilingBurst, began}
 	v := Verdict{BeyondIn: make([]float64, len(windows)), SentIn: make([]float64, len(windows))}
 	const step = 100 * time.Millisecond
-	for _, at := range sends {
+	for _, send := range t.of(firm) {
+		at := send.At
 		for quota.at.Add(step).Before(at) { // figures change between sends, too
 			next := quota.at.Add(step)
 			p := largest(next)
@@ -129,7 +142,9 @@
 		}
 		if p.CeilingRate > 0 {
 			ceiling.level--
-			v.Over = max(v.Over, -ceiling.level-p.CeilingSlack)
+			if over := -ceiling.level - p.CeilingSlack; over > v.Over {
+				v.Over, v.Worst = over, send
+			}
 		}
 	}
 	return v
