Pool: ends that it makes itself are told to nobody, so none waits for its lock

Callers saw nothing; a try that needs the pool meanwhile stands in line behind them.

Why this holds: Conn.Discard ends a connection whose owner has given it up and tells nobody.

Looked elsewhere: the counter's connections are ended likewise now (one for each counter). Client connections are told of in every case, as their front counts them; those goroutines hold the front's lock for a deletion alone.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -229,7 +229,7 @@
 		l.client.fail(s.id, logic.Reset)
 	}
 	l.sent = nil
-	crash.Go(l.conn.Close)
+	crash.Go(l.conn.Discard)
 	l.client.tend()
 }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -66,7 +66,7 @@
 func (c *Conn) Late(answer func(b []byte) []byte) { c.late = answer }
 
 // Serve sets what happens when bytes have come, one call at a time, and once, in a goroutine of its own, when the
-// connection has ended, by either side, even if that was before this call.
+// connection has ended, by either side, even if that was before this call. Behind Discard no end is told.
 func (c *Conn) Serve(ready, ended func()) {
 	c.ended = ended
 	// The end first: without a reader netpoll leaves it to us to close, so none is missed between the two.
@@ -281,6 +281,15 @@
 	}
 }
 
+// Discard ends the connection as Close does, and tells its owner of no end any more. Guards against an owner that gives up many
+// connections at once and is told of each: every one of these goroutines would wait for the owner's lock, to find nothing to do.
+func (c *Conn) Discard() {
+	c.mu.Lock()
+	c.told = true
+	c.mu.Unlock()
+	c.Close()
+}
+
 // Close ends the connection. It waits for a write that is under way to notice, and for no peer.
 func (c *Conn) Close() {
 	c.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -398,11 +398,11 @@
 		c.closed = true
 		c.whole()
 		p.open--
-		crash.Go(c.conn.Close) // it waits for a write under way
+		crash.Go(c.conn.Discard) // it waits for a write under way
 	}
 }
 
-// onClose is told once the connection has ended, by either side.
+// onClose is told once the server has ended the connection.
 func (c *connection) onClose() {
 	p := c.pool
 	p.mu.Lock()
