Front: an unreadable command behind 1,024 that wait ends its connection at once

What callers saw: a refusal for nothing, and the error and end 2.4 s late or later.

Cause: the answer that ends a connection got no slot where 1,024 commands wait; it was counted as one more refused command, and the connection was not marked as ending, so each look at the same bytes counted another.

Why this holds: the last answer has a slot in every case; nothing is read behind it, so it is one beyond the bound. Looked at every caller of place and reply: the error for a command that stops in the middle took the same way.

--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -148,6 +148,38 @@
 	}
 }
 
+// Bytes that cannot be read end a connection behind all that is due on it, also where so many commands wait that further ones are
+// refused. They were counted as one more of these: the client got a refusal for nothing, and its error only 2.4 s later.
+func TestAnUnreadableCommandBehindAllThatWaitEndsTheConnection(t *testing.T) {
+	t.Parallel()
+	const waiting, refused = 1024, 76
+	held := make(chan struct{})
+	s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+		<-held
+		value("v")(conn, args)
+	})
+	set := settings()
+	set["tariffs"].([]object)[0]["perSecond"], set["tariffs"].([]object)[0]["depth"] = 1e5, 1e5
+	c := start(t, world{settings: set, servers: []*server{s}}).dial()
+	var all strings.Builder
+	for n := range waiting + refused {
+		all.WriteString(command(ask(fmt.Sprintf("%04x", n))...))
+	}
+	c.write(all.String())
+	time.Sleep(300 * time.Millisecond) // they wait by now
+	c.write("noise\r\n")
+	time.Sleep(300 * time.Millisecond)
+	close(held)
+	for n := range waiting {
+		require.Regexp(t, "^(v|-BUSY.*|-ERR failed)$", c.answer(), "command %d", n)
+	}
+	for n := range refused {
+		require.Regexp(t, "^-BUSY", c.answer(), "command %d", waiting+n)
+	}
+	require.Regexp(t, "^-ERR ", c.answer())
+	c.ended()
+}
+
 // A new connection for which there is no room is shut unread: its client is sure that its request was not taken.
 func TestANewConnectionWithoutRoomIsShutUnread(t *testing.T) {
 	t.Parallel()
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -190,15 +190,17 @@
 
 // place adds the slot of a command's answer. Nil if the client waits for too many: a client that only writes must not fill
 // the memory, and those that were taken before must not be lost. The command is refused behind them; over tells that the
-// client sends on all the same: nothing more is read, and the connection ends behind the answers that are due.
-func (c *clientConnection) place() (s *slot, over bool) {
+// client sends on all the same: nothing more is read, and the connection ends behind the answers that are due. The last answer
+// has a place in every case: nothing is read behind it, so it is one, and without it bytes that cannot be read would be
+// refused as if they were a command, at each look, for as long as so many wait.
+func (c *clientConnection) place(last bool) (s *slot, over bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.usedAt, c.active = time.Now(), true
-	if len(c.slots) >= waitingLimit {
+	if len(c.slots) >= waitingLimit && !last {
 		return nil, c.countRefused()
 	}
-	s = &slot{}
+	s = &slot{last: last}
 	c.slots = append(c.slots, s)
 	return s, false
 }
@@ -221,7 +223,7 @@
 	if !ok || words == 0 { // an empty array is passed over
 		return false, ok
 	}
-	s, over := c.place()
+	s, over := c.place(false)
 	if s != nil { // an answer has come meanwhile
 		c.fill(s, c.front.busyAnswer)
 	}
@@ -242,11 +244,10 @@
 
 // reply answers a command at once, behind the answers that are due before. It tells whether the connection ends with it.
 func (c *clientConnection) reply(answer []byte, last bool) bool {
-	s, over := c.place()
+	s, over := c.place(last)
 	if s == nil {
 		return over
 	}
-	s.last = last
 	c.fill(s, answer)
 	return last
 }
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -47,7 +47,7 @@
 		return c.refuse("a request with this id is open", false)
 	}
 	var over bool
-	if r.slot, over = c.place(); r.slot == nil {
+	if r.slot, over = c.place(false); r.slot == nil {
 		c.front.release(r)
 		return over
 	}
