--- a/cmd/bramblefall/heldup_test.go
+++ b/cmd/bramblefall/heldup_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -76,3 +77,49 @@
 	asked := 0
 	require.Eventually(t, func() bool { asked++; return l.serves(fmt.Sprint("after-", asked)) }, patience, 10*time.Millisecond, "it serves on")
 }
+
+// A write that the kernel cannot take at once is finished by netpoll's poller, which ends the connection on any error but EAGAIN.
+// Linux documents EINTR for calls that wait, and after a stop for epoll_wait and the like: these writes do not wait, so a
+// signal or a standstill in the middle of one ends nothing.
+func TestSignalsEndNoLargeFlush(t *testing.T) {
+	t.Parallel()
+	const answers, ahead, signalEvery = 640, 64, 50 * time.Microsecond // 4 MB ahead: more than the kernel takes
+	large := strings.Repeat("p", 60<<10)
+	l := start(t, world{servers: []*server{newServer(t, "s-1", "hall-a", value(large))}})
+	c := l.dial()
+	require.NoError(t, c.conn.(*net.TCPConn).SetReadBuffer(16<<10)) // the kernel holds little, so most of each value waits
+	stop := make(chan struct{})
+	var signals atomic.Int64
+	var signalling sync.WaitGroup
+	defer signalling.Wait()
+	defer close(stop)
+	signalling.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(signalEvery):
+			}
+			_ = l.cmd.Process.Signal(syscall.SIGURG) // the Go runtime's own, which means nothing else
+			if signals.Add(1)%100 == 0 {
+				l.stopped(time.Millisecond, func() {})
+			}
+		}
+	})
+	values := 0
+	for n := range answers {
+		if n%ahead == 0 {
+			for k := range ahead {
+				c.write(command(ask(fmt.Sprintf("%04x", n+k))...))
+			}
+			time.Sleep(20 * time.Millisecond) // they wait for this client
+		}
+		if answer := c.answer(); answer == large { // fails the test where the connection has ended
+			values++
+		} else {
+			require.Regexp(t, "^-BUSY", answer, "answer %d", n) // the bound on tries out, or on what waits for this client
+		}
+	}
+	require.Greater(t, values, answers/2, "this shows little")
+	t.Logf("%d signals, %d values", signals.Load(), values)
+}
