Stand-ins: links have conditions and phases, nodes have ports, in the field's words

Weather, spells, fair and foul, doors, Die and Rise become conditions, phases, healthy and impaired, ports, Crash and Restart. No change of what they do: what a seed draws is the same.

--- a/cmd/bramblefall/links_test.go
+++ b/cmd/bramblefall/links_test.go
@@ -16,7 +16,7 @@
 
 const (
 	linkedLimiters = 6 // more than can do by their own view
-	foulTime       = 8 * time.Second
+	impairedTime   = 8 * time.Second
 	ceilingRate    = 20.0
 	ceilingBurst   = 20.0
 	askEvery       = 25 * time.Millisecond // at each limiter: ten times the ceiling in all
@@ -24,7 +24,7 @@
 
 // Every limiter has links of its own to the counter and to discovery, which are cut in one or both directions, held, slowed
 // and reset by a seed, while one limiter is stopped for a while and another is killed and started again. All together keep a
-// firm's ceiling, each request has its one answer, and where the sky has cleared all call the counter again.
+// firm's ceiling, each request has its one answer, and once the links are clear again all call the counter again.
 func TestAFleetWhoseLinksFailKeepsTheCeiling(t *testing.T) {
 	t.Parallel()
 	const seed = 1
@@ -67,12 +67,12 @@
 	}
 	var playing sync.WaitGroup
 	for k, l := range links {
-		playing.Go(func() { l.Play(standin.DrawSpells(100*seed+uint64(k), foulTime)) })
+		playing.Go(func() { l.Play(standin.DrawPhases(100*seed+uint64(k), impairedTime)) })
 	}
 	const stopped, killed = 1, 2
-	time.Sleep(foulTime / 4)
+	time.Sleep(impairedTime / 4)
 	require.NoError(t, f.limiters[stopped].Signal(syscall.SIGSTOP))
-	time.Sleep(foulTime / 5)
+	time.Sleep(impairedTime / 5)
 	require.NoError(t, f.limiters[stopped].Signal(syscall.SIGCONT))
 	f.limiters[killed].Kill()
 	f.limiters[killed] = f.start(t, killed)
@@ -97,6 +97,6 @@
 	}
 	low, sends := ceiling.Lowest()
 	t.Logf("%d sends, the ceiling's store at least %.1f", sends, low)
-	require.Greater(t, sends, int(foulTime.Seconds()*ceilingRate/10), "this shows little")
+	require.Greater(t, sends, int(impairedTime.Seconds()*ceilingRate/10), "this shows little")
 	require.GreaterOrEqual(t, low, -ceilingBurst/10)
 }
--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -273,13 +273,13 @@
 		for k, n := range r.fleet.World.Nodes {
 			if k%r.s.Halls == f.Hall%r.s.Halls {
 				lost = append(lost, n)
-				n.Die()
+				n.Crash()
 				r.fleet.World.Tell(n, "gone", time.Time{})
 			}
 		}
 		if pause(f.For) {
 			for _, n := range lost {
-				if err := n.Rise(); err != nil {
+				if err := n.Restart(); err != nil {
 					return
 				}
 				x := r.nodes[n.ID]
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -385,9 +385,9 @@
 	h := newHollow(t.Context())
 	require.NoError(t, h.Add(HollowAdd{Limiters: limiters, Discovery: listed.Hollow, Counter: link.Addr, Fleet: limiters, Calls: rate, Grace: usualGrace}, new(int)))
 	time.Sleep(time.Second)
-	link.Set(standin.Weather{CutDown: true})
+	link.Set(standin.Conditions{CutDown: true})
 	time.Sleep(stands)
-	link.Set(standin.Weather{})
+	link.Set(standin.Conditions{})
 	time.Sleep(500 * time.Millisecond)
 	require.NoError(t, h.Calls(0, new(int)))
 	var a Arrived
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -14,7 +14,7 @@
 
 // Discovery stands in for the platform's discovery, over bare sockets so that its answers can break at any byte.
 //
-// Each limiter may have an agent of its own. There the list names doors of the nodes that only that limiter knows, so
+// Each limiter may have an agent of its own. There the list names ports of the nodes that only that limiter knows, so
 // that the auditor can tell who sent, and answers go wrong as a hand says.
 type Discovery struct {
 	Addr string
@@ -54,7 +54,7 @@
 // AddAgent starts a limiter's own agent. The hand names the trouble of each of its answers, counted from 0; nil: none.
 func (d *Discovery) AddAgent(limiter int, hand func(answer int) Trouble) (addr string, err error) {
 	for _, n := range d.world.Nodes {
-		if err := n.addDoor(limiter); err != nil {
+		if err := n.addPort(limiter); err != nil {
 			return "", err
 		}
 	}
@@ -111,7 +111,7 @@
 		if n.State.Load() == "gone" {
 			continue
 		}
-		servers = append(servers, map[string]any{"id": n.name(), "addr": n.doors[limiter].addr, "zone": n.Hall, "kind": "std-3core",
+		servers = append(servers, map[string]any{"id": n.name(), "addr": n.ports[limiter].addr, "zone": n.Hall, "kind": "std-3core",
 			"cell": 0, "state": n.State.Load(), "weight": 1.0, "started_ms": n.Started})
 	}
 	return map[string]any{"version": d.version, "full": true, "servers": servers}
--- a/internal/standin/link.go
+++ b/internal/standin/link.go
@@ -12,8 +12,8 @@
 	"bramblefall/internal/loopback"
 )
 
-// Weather is what a link does to the bytes on it. The zero value passes them on.
-type Weather struct {
+// Conditions is what a link does to the bytes on it. The zero value passes them on.
+type Conditions struct {
 	CutUp, CutDown bool          // nothing towards the peer, nothing back from it: it waits, as for a retransmission
 	Delay          time.Duration // of each piece
 	Loss           float64       // share of the pieces that are sent again, after resend
@@ -22,8 +22,8 @@
 	Refuse         bool          // new connections are closed
 }
 
-func (w Weather) String() string {
-	return fmt.Sprintf("up=%t down=%t delay=%v loss=%.2f rate=%d mute=%t refuse=%t", !w.CutUp, !w.CutDown, w.Delay, w.Loss, w.Rate, w.Mute, w.Refuse)
+func (c Conditions) String() string {
+	return fmt.Sprintf("up=%t down=%t delay=%v loss=%.2f rate=%d mute=%t refuse=%t", !c.CutUp, !c.CutDown, c.Delay, c.Loss, c.Rate, c.Mute, c.Refuse)
 }
 
 const (
@@ -31,7 +31,7 @@
 	piece  = 4 << 10
 )
 
-// Link leads TCP connections to a peer, through a weather that can change at any time. A process that is given its address
+// Link leads TCP connections to a peer, under conditions that can change at any time. A process that is given its address
 // instead of the peer's has a way of its own to it.
 type Link struct {
 	Addr string
@@ -40,15 +40,15 @@
 	listen net.Listener
 	back   atomic.Int64
 
-	mu      sync.Mutex
-	weather Weather
-	changed chan struct{} // closed when the weather changes
-	rng     *rand.Rand
-	conns   map[net.Conn]struct{}
-	over    bool
+	mu         sync.Mutex
+	conditions Conditions
+	changed    chan struct{} // closed when the conditions change
+	rng        *rand.Rand
+	conns      map[net.Conn]struct{}
+	over       bool
 }
 
-// NewLink makes a link to an address. Its luck follows the seed.
+// NewLink makes a link to an address. What is lost on it follows the seed.
 func NewLink(target string, seed uint64) (*Link, error) {
 	at, err := loopback.Listen()
 	if err != nil {
@@ -68,11 +68,11 @@
 	return l, nil
 }
 
-// Set changes the weather, also of what is on its way.
-func (l *Link) Set(w Weather) {
+// Set changes the conditions, also of what is on its way.
+func (l *Link) Set(w Conditions) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.weather = w
+	l.conditions = w
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
@@ -98,14 +98,14 @@
 	l.mu.Lock()
 	l.over = true
 	l.mu.Unlock()
-	l.Set(Weather{})
+	l.Set(Conditions{})
 	l.Reset()
 }
 
-func (l *Link) now() (Weather, <-chan struct{}, bool) {
+func (l *Link) now() (Conditions, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.weather, l.changed, l.over
+	return l.conditions, l.changed, l.over
 }
 
 // keep notes a connection, to be ended with the link. It tells whether there is still a link.
@@ -143,14 +143,14 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		l.carry(near, far, func(w Weather) bool { return w.CutDown }, &l.back)
+		l.carry(near, far, func(w Conditions) bool { return w.CutDown }, &l.back)
 	}()
-	l.carry(far, near, func(w Weather) bool { return w.CutUp }, new(atomic.Int64))
+	l.carry(far, near, func(w Conditions) bool { return w.CutUp }, new(atomic.Int64))
 	<-done
 }
 
 // carry moves bytes in one direction, and ends both connections when one has ended.
-func (l *Link) carry(to, from net.Conn, cut func(Weather) bool, pieces *atomic.Int64) {
+func (l *Link) carry(to, from net.Conn, cut func(Conditions) bool, pieces *atomic.Int64) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, piece)
@@ -169,7 +169,7 @@
 }
 
 // pass waits until a piece may go on. It tells whether it does.
-func (l *Link) pass(n int, cut func(Weather) bool) bool {
+func (l *Link) pass(n int, cut func(Conditions) bool) bool {
 	for {
 		w, changed, over := l.now()
 		if over {
@@ -192,45 +192,45 @@
 	}
 }
 
-// Spell is a time of a weather, or a reset at its beginning.
-type Spell struct {
+// Phase is a time under some conditions, or a reset at its beginning.
+type Phase struct {
 	For   time.Duration
 	Reset bool
-	Weather
+	Conditions
 }
 
-// DrawSpells draws a link's weather for a time: fair and foul by turns, fair at the end.
-func DrawSpells(seed uint64, whole time.Duration) (spells []Spell) {
+// DrawPhases draws a link's conditions for a time: healthy and impaired by turns, and healthy at the end.
+func DrawPhases(seed uint64, whole time.Duration) (phases []Phase) {
 	rng := rand.New(rand.NewPCG(seed, 0x776561))
 	for left := whole; left > 0; {
-		fair := Spell{For: time.Duration(200+rng.IntN(800)) * time.Millisecond}
-		foul := Spell{For: time.Duration(200+rng.IntN(1300)) * time.Millisecond, Reset: rng.IntN(4) == 0}
+		healthy := Phase{For: time.Duration(200+rng.IntN(800)) * time.Millisecond}
+		impaired := Phase{For: time.Duration(200+rng.IntN(1300)) * time.Millisecond, Reset: rng.IntN(4) == 0}
 		switch rng.IntN(7) {
 		case 0:
-			foul.CutUp = true
+			impaired.CutUp = true
 		case 1:
-			foul.CutDown = true
+			impaired.CutDown = true
 		case 2:
-			foul.CutUp, foul.CutDown = true, true
+			impaired.CutUp, impaired.CutDown = true, true
 		case 3:
-			foul.Delay = time.Duration(rng.IntN(80)) * time.Millisecond
+			impaired.Delay = time.Duration(rng.IntN(80)) * time.Millisecond
 		case 4:
-			foul.Loss = 0.5 * rng.Float64()
+			impaired.Loss = 0.5 * rng.Float64()
 		case 5:
-			foul.Rate = 500 + rng.IntN(4000)
+			impaired.Rate = 500 + rng.IntN(4000)
 		case 6:
-			foul.Mute, foul.Refuse = rng.IntN(2) == 0, rng.IntN(2) == 0
+			impaired.Mute, impaired.Refuse = rng.IntN(2) == 0, rng.IntN(2) == 0
 		}
-		spells = append(spells, fair, foul)
-		left -= fair.For + foul.For
+		phases = append(phases, healthy, impaired)
+		left -= healthy.For + impaired.For
 	}
-	return append(spells, Spell{})
+	return append(phases, Phase{})
 }
 
-// Play gives the link its spells, one after the other.
-func (l *Link) Play(spells []Spell) {
-	for _, s := range spells {
-		if l.Set(s.Weather); s.Reset {
+// Play gives the link its phases, one after the other.
+func (l *Link) Play(phases []Phase) {
+	for _, s := range phases {
+		if l.Set(s.Conditions); s.Reset {
 			l.Reset()
 		}
 		time.Sleep(s.For)
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -24,32 +24,32 @@
 	world *World
 	made  atomic.Int64
 	mu    sync.Mutex
-	doors map[int]door // by the limiter that knows it; everybody's, too
+	ports map[int]port // by the limiter that knows it; everybody's, too
 	conns map[*fault.Conn]struct{}
 	// Handle chooses the answer to a command, after a delay; nil: a mix of values, errors and refusals by the
 	// connection's script. mayRun tells the auditor whether the command runs.
 	Handle func(n *Node, args [][]byte) (answer []byte, mayRun bool, delay time.Duration)
 }
 
-// door is where a node listens.
-type door struct {
-	addr string
-	port net.Listener
+// port is where a node listens.
+type port struct {
+	addr     string
+	listener net.Listener
 }
 
 // AddNode starts a node in a hall.
 func (w *World) AddNode(id, hall string) (*Node, error) {
-	n := &Node{ID: id, Hall: hall, world: w, conns: map[*fault.Conn]struct{}{}, doors: map[int]door{}}
+	n := &Node{ID: id, Hall: hall, world: w, conns: map[*fault.Conn]struct{}{}, ports: map[int]port{}}
 	n.State.Store("ready")
-	if err := n.addDoor(everybody); err != nil {
+	if err := n.addPort(everybody); err != nil {
 		return nil, err
 	}
-	n.Addr = n.doors[everybody].addr
+	n.Addr = n.ports[everybody].addr
 	w.Nodes = append(w.Nodes, n)
 	return n, nil
 }
 
-func (n *Node) addDoor(limiter int) error {
+func (n *Node) addPort(limiter int) error {
 	address, err := loopback.AnyPort()
 	if err != nil {
 		return err
@@ -62,17 +62,17 @@
 func (n *Node) open(limiter int, addr string) error {
 	l, err := n.world.listenAt(addr, fault.Node, func(c *fault.Conn, s fault.Script) { n.serve(c, s, limiter) })
 	if err == nil {
-		n.doors[limiter] = door{l.Addr().String(), l}
+		n.ports[limiter] = port{l.Addr().String(), l}
 	}
 	return err
 }
 
-// Die ends the node's process: its connections are reset and new ones refused.
-func (n *Node) Die() {
+// Crash ends the node's process: its connections are reset and new ones refused.
+func (n *Node) Crash() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, d := range n.doors {
-		_ = d.port.Close()
+	for _, p := range n.ports {
+		_ = p.listener.Close()
 	}
 	for c := range n.conns {
 		if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -82,12 +82,12 @@
 	}
 }
 
-// Rise starts it again at its address.
-func (n *Node) Rise() error {
+// Restart starts it again at its address.
+func (n *Node) Restart() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for limiter, d := range n.doors {
-		if err := n.open(limiter, d.addr); err != nil {
+	for limiter, p := range n.ports {
+		if err := n.open(limiter, p.addr); err != nil {
 			return err
 		}
 	}
