--- a/internal/lab/plans.go
+++ b/internal/lab/plans.go
@@ -260,6 +260,7 @@
 		changes, err = r.change(run, began, length)
 	}
 	<-done
+	r.Say("the longest pause of the lab's process: %s", r.trace.pauses.longest(began, time.Now()).Round(time.Millisecond))
 	if err = errors.Join(err, r.fleet.Crash()); err != nil {
 		return 0, err
 	}
