--- a/cmd/bramblefall/fault_test.go
+++ b/cmd/bramblefall/fault_test.go
@@ -107,6 +107,10 @@
 	return list.String()
 }
 
+// This test failed with 70 goroutines at rest, and on a limiter that is held up with a data race. The goroutines (53 and 59 of 85
+// and 86, where it could be brought) waited for the pool's lock, to be told of ends that the pool had made itself; the race was
+// netpoll's log of an event that only race builds give to the wrong owner, right behind its line "operator has critical
+// problem! event=1". docs/incidents has both, with the load that brings them.
 func TestNoFaultOfAPeerCrashesOrLeaksOrMixesUp(t *testing.T) {
 	seed, scripts := fromEnv("BRAMBLEFALL_SEED", 1), fromEnv("BRAMBLEFALL_SCRIPTS", faultScripts)
 	binary := raceBinary(t)
