--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -139,7 +139,7 @@
 
 // config is the file that tells a limiter of its world.
 func (w world) config(t *testing.T) object {
-	cfg := object{"name": "n0", "listen": anyPort(t), "seed": "8c1f30d27a5be964",
+	cfg := object{"name": "n0", "listen": limiterAddress(t), "seed": "8c1f30d27a5be964",
 		"limits": object{"cores": cmp.Or(w.cores, 1.0), "memory_mb": cmp.Or(w.memory, 192), "sockets": cmp.Or(w.sockets, 128)}, "settings": w.settings,
 		"known": object{"version": 1, "full": true, "servers": entries(w.servers)}}
 	if w.counter != nil {
@@ -396,6 +396,20 @@
 	return address
 }
 
+// limiterAddresses has the address of each test's limiter: a configuration that is read again names the same as before.
+var limiterAddresses sync.Map
+
+func limiterAddress(t *testing.T) string {
+	t.Helper()
+	if address, ok := limiterAddresses.Load(t); ok {
+		return address.(string)
+	}
+	address := anyPort(t)
+	limiterAddresses.Store(t, address)
+	t.Cleanup(func() { limiterAddresses.Delete(t) })
+	return address
+}
+
 // inSocketTable is an address as /proc/net/tcp words it.
 func inSocketTable(addr string) string {
 	at := netip.MustParseAddrPort(addr)
