discovery: a limiter's own pauses are not taken for a silence of discovery

What callers saw: under load a list that was being read was dropped in its middle and asked for anew, the longer the list the more likely; where a limiter got processor time for moments only, a list of 3,000 servers was read again and again and its drains came late or never.

Cause: activityMonitor counted 125 ms from the last bytes, and 5 ms more, whatever the reader did meanwhile. A reader that decodes, or gets no processor time, looked like discovery.

Evidence: TestIntermittentLimiterReadsLongListOnce stops the process for 180 ms after each 2 ms of running.

Mend: the time counts from when the reader finds nothing to read, and the kernel is asked for bytes before a stall is reported; reads and that question share a lock, so no bytes lie between them.

Second fault, found on the way: entries without an id were posted as a server without a name, out of a stalled part as well. They name no server and are dropped; they count towards the bound. TestEntryWithoutIDIsIgnored failed before.

--- a/cmd/bramblefall/lists_test.go
+++ b/cmd/bramblefall/lists_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,6 +49,57 @@
 	require.Fail(t, "the limiter reported discovery as silent in each of 5 runs")
 }
 
+// A limiter that gets processor time for moments only, each pause longer than a list may pause, reads a long list to its end: its
+// own pauses are no silence of discovery, and a list that began anew at each pause would never end.
+func TestIntermittentLimiterReadsLongListOnce(t *testing.T) {
+	t.Parallel()
+	const (
+		entries = 3000
+		pauses  = 30
+		pause   = 180 * time.Millisecond // a list may pause for an eighth of a second
+		runTime = 2 * time.Millisecond
+	)
+	f, _, line := drainedServerFixture(t)
+	f.settings = settings()
+	startLong := make(chan struct{})
+	var requests atomic.Int64
+	f.registry = newAgent(t, func(_ int, conn net.Conn) {
+		_, _ = conn.Write([]byte(chunkedHeader + chunk(line)))
+		if requests.Add(1) == 1 {
+			<-startLong
+			_, _ = conn.Write([]byte(chunk(longList(t, 8, entries))))
+		}
+		for err := error(nil); err == nil; time.Sleep(500 * time.Millisecond) {
+			_, err = conn.Write([]byte(chunk(""))) // nothing has changed
+		}
+	})
+	l := start(t, f)
+	require.Equal(t, "new", l.dial().do(askArgs("01")...))
+	close(startLong)
+	for range pauses {
+		time.Sleep(runTime)
+		l.whileStopped(pause, func() {})
+	}
+	attempts := 0
+	require.Eventually(t, func() bool {
+		attempts++
+		return strings.HasPrefix(l.dial().do(askArgs(fmt.Sprintf("%04x", attempts))...), "-")
+	}, testTimeout, 10*time.Millisecond, "all servers of the long list drain")
+	require.EqualValues(t, 1, requests.Load(), "requests to discovery")
+	require.NotContains(t, l.log.String(), "discovery says nothing more")
+}
+
+// longList returns a complete list of servers that drain.
+func longList(t *testing.T, version, entries int) string {
+	var servers []object
+	for n := range entries {
+		servers = append(servers, object{"id": fmt.Sprintf("s-%d", n), "addr": "127.0.0.1:1", "zone": "hall-a", "state": "draining"})
+	}
+	raw, err := json.Marshal(object{"version": version, "full": true, "servers": servers})
+	require.NoError(t, err)
+	return string(raw)
+}
+
 // The address of a removed server may be given to another program, which must not be taken for the server. Once a list no longer
 // names an address, the connections to it are closed and nothing is sent there.
 func TestConnectionsToRemovedAddressAreClosed(t *testing.T) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -6,13 +6,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"bramblefall/internal/crash"
-	"bramblefall/internal/socket"
 )
 
 // watchEvent is what a watch reports to Client.follow.
@@ -67,7 +64,7 @@
 	}
 	m := &activityMonitor{timing: c.timing, stalls: int(c.stalls.Load())}
 	m.timer = crash.AfterFunc(noTimeout, func() {
-		if !m.beginFinalCheck() {
+		if m.isStalled() {
 			send(watchEvent{kind: watchStalled, midMessage: m.midMessage()})
 		}
 	})
@@ -148,19 +145,22 @@
 	if err := expectDelim(in, '['); err != nil {
 		return truncated(err)
 	}
-	for text := 0; in.More(); {
+	text := 0
+	for entries := 0; in.More(); entries++ {
 		var s Server
 		if err := in.Decode(&s); err != nil {
 			return truncated(err)
 		}
 		text += len(s.ID) + len(s.Addr) + len(s.Zone) + len(s.Kind) + len(s.State)
-		if len(l.Servers) == maxServers {
+		if entries == maxServers {
 			return rejectList("more than %d servers", maxServers)
 		}
 		if text > maxTextBytes {
 			return rejectList("its servers have more than %d bytes of text", maxTextBytes)
 		}
-		l.Servers = append(l.Servers, s)
+		if s.ID != "" { // an entry without an id names no server
+			l.Servers = append(l.Servers, s)
+		}
 	}
 	_, err := in.Token()
 	return truncated(err)
@@ -183,78 +183,6 @@
 	return err
 }
 
-// activityMonitor detects a response that has stalled. It watches the connection itself: net/http passes on a chunk only when
-// it is complete, so that a reader of the body cannot tell a chunk that stops short from no data at all.
-type activityMonitor struct {
-	timing     timing
-	stalls     int // watches in a row that stalled within a message before this one
-	timer      *time.Timer
-	finalCheck atomic.Bool // the timeout has passed, and the connection is checked once more
-	midLine    atomic.Bool // the last byte read from the connection was no line end
-	inList     atomic.Bool // the body is within a list
-}
-
-// midMessage reports whether the response is within a line, or within a list of several lines. An indented list that stops
-// at the end of one of its lines must not get the longer timeout that applies between two lists.
-func (m *activityMonitor) midMessage() bool { return m.midLine.Load() || m.inList.Load() }
-
-// beginFinalCheck is called when the timeout has passed. The first time it restarts the timer with finalCheckDelay and
-// returns true, since the connection may have bytes that were not read yet. A limiter that was paused, or got no processor
-// time, would otherwise drop a response that arrived meanwhile, and a long list would start from the beginning. The second time
-// without activity in between it returns false, and the stall is reported.
-func (m *activityMonitor) beginFinalCheck() bool {
-	if m.finalCheck.Swap(true) {
-		return false
-	}
-	m.timer.Reset(finalCheckDelay)
-	return true
-}
-
-// noteActivity restarts the timer after bytes were received, or a list began or ended.
-func (m *activityMonitor) noteActivity() {
-	m.finalCheck.Store(false)
-	if m.midMessage() {
-		m.timer.Reset(m.timing.stallTimeoutAfter(m.stalls))
-	} else {
-		m.timer.Reset(keepaliveTimeout)
-	}
-}
-
-// setInList records whether the body is within a list.
-func (m *activityMonitor) setInList(inList bool) {
-	if m.inList.Swap(inList) != inList {
-		m.noteActivity()
-	}
-}
-
-func (m *activityMonitor) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	// This uses the standard library's connections: net/http closes a connection while reading from it, which netpoll's
-	// connections do not support. It retries, because a transient local failure would count as a refusal by discovery, and
-	// the next request could be seconds away.
-	conn, err := socket.RetryDial(ctx, dialTimeout, func() (net.Conn, error) {
-		return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
-	})
-	if err != nil {
-		return nil, err
-	}
-	return monitoredConn{conn, m}, nil
-}
-
-// monitoredConn reports what it reads to an activityMonitor.
-type monitoredConn struct {
-	net.Conn
-	monitor *activityMonitor
-}
-
-func (c monitoredConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.monitor.midLine.Store(b[n-1] != '\n')
-		c.monitor.noteActivity()
-	}
-	return n, err
-}
-
 // listReader passes on the lists of a response body and calls onEmptyLine for the empty lines between them, in order: a Read
 // returns at the end of a list, so that the next one starts only after that list has been handled. The end of a line that
 // holds part of a list is not a message.
