tests: the wall clock's phase and a starved limiter become axes of one seed

Tests that compare what is served with a quota depended on the second in which they began, and had no seed for it. The three limiters of the counters' tests now run under a wall clock that begins where BRAMBLEFALL_SEED says (the library of wallclock_test.go); so does a life of the soak. TestQuotaIsGrantedOnceAtAnyMomentOfTheWallClock plays twelve beginnings.

Every fourth life of the soak has a second in which the limiter is stopped for up to 60 ms after each 0 to 6 ms of running.

--- a/cmd/bramblefall/counters_test.go
+++ b/cmd/bramblefall/counters_test.go
@@ -33,15 +33,20 @@
 	require.Eventually(l.t, func() bool { return strings.Count(l.log.String(), message) > before }, testTimeout, time.Millisecond)
 }
 
-// startThreeLimiters starts the first three limiters of a deployment of this size, each with its own operators' file. restart
-// starts the one of a rank again.
+// startThreeLimiters starts the first three limiters of a deployment of this size, each with its own operators' file, under one
+// wall clock whose beginning BRAMBLEFALL_SEED draws. restart starts the one of a rank again.
 func startThreeLimiters(t *testing.T, balancers int, plan object, c *quotaCounter, s *server) (all []*limiter, files []string, restart func(rank int) *limiter) {
+	return startThreeLimitersAt(t, newSeededWallClock(t, envUint("BRAMBLEFALL_SEED", 1)), balancers, plan, c, s)
+}
+
+// startThreeLimitersAt is startThreeLimiters under a given wall clock.
+func startThreeLimitersAt(t *testing.T, clock *wallClock, balancers int, plan object, c *quotaCounter, s *server) (all []*limiter, files []string, restart func(rank int) *limiter) {
 	set := settings()
 	set["balancers"], set["tariffs"] = balancers, []object{plan}
 	restart = func(rank int) *limiter {
 		own := maps.Clone(set)
 		own["rank"] = rank
-		return start(t, fixture{settings: own, servers: []*server{s}, counter: c, operatorFile: files[rank]})
+		return start(t, fixture{settings: own, servers: []*server{s}, counter: c, operatorFile: files[rank], clock: clock})
 	}
 	for rank := range 3 {
 		files = append(files, writeScript(t, filepath.Join(t.TempDir(), "operator.star"), "bramblefall()\n"))
@@ -221,6 +226,33 @@
 	require.LessOrEqual(t, used+informed+more, maxMovedServed)
 }
 
+// Limiters that ask one after the other are granted a firm's burst once, at whatever moment of the wall clock they begin: the
+// ends of counting intervals, which come at moments of that clock, grant nothing.
+func TestQuotaIsGrantedOnceAtAnyMomentOfTheWallClock(t *testing.T) {
+	t.Parallel()
+	const (
+		moments    = 12
+		refillTime = 20 * time.Second // in which one unit is refilled
+	)
+	first := envUint("BRAMBLEFALL_SEED", 1)
+	for seed := first; seed < first+moments; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			limiters, _, _ := startThreeLimitersAt(t, newSeededWallClock(t, seed), 6, plan("regular", 0.05, movedBurst, 0), newCounter(t),
+				newServer(t, "s-1", "hall-a", replyValue("v")))
+			began := time.Now()
+			served := 0
+			for k, l := range limiters {
+				served += l.useQuota(movedFirms, fmt.Sprint(k))
+				time.Sleep(time.Second)
+			}
+			require.Less(t, time.Since(began), refillTime, "the machine is too slow for this test")
+			t.Logf("%d served", served)
+			require.LessOrEqual(t, served, movedFirms*(movedBurst+1))
+		})
+	}
+}
+
 // A list that changes every second grants no quota twice, whichever limiter asks after each change.
 func TestCounterListChangedEverySecondGrantsNoQuotaTwice(t *testing.T) {
 	t.Parallel()
--- a/cmd/bramblefall/drain_test.go
+++ b/cmd/bramblefall/drain_test.go
@@ -29,7 +29,8 @@
 	peers    *standin.World
 	limiters []*standin.Limiter
 	configs  []object
-	args     []string // of the program, besides its configuration
+	args     []string   // of the program, besides its configuration
+	clock    *wallClock // of the limiters; nil: the machine's
 	ids      atomic.Int64
 }
 
@@ -70,7 +71,11 @@
 
 // start starts a limiter, for the first time or again.
 func (f *fleet) start(t *testing.T, k int) *standin.Limiter {
-	l, err := standin.Start(binary, t.TempDir(), f.configs[k], f.args...)
+	var env []string
+	if f.clock != nil {
+		env = f.clock.environment()
+	}
+	l, err := standin.StartWithEnv(binary, t.TempDir(), env, f.configs[k], f.args...)
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		l.Kill()
--- a/cmd/bramblefall/soak_test.go
+++ b/cmd/bramblefall/soak_test.go
@@ -245,6 +245,22 @@
 	}
 }
 
+const (
+	starvedTime     = time.Second
+	maxStarvedPause = 60 * time.Millisecond // without processor time
+	maxStarvedRun   = 6 * time.Millisecond  // between two such pauses
+)
+
+// starve stops and continues the limiter at moments drawn from the seed, as on a machine that has little processor time for it.
+func (s *soak) starve(l *standin.Limiter) {
+	for until := time.Now().Add(starvedTime); time.Now().Before(until); {
+		time.Sleep(time.Duration(s.intN(int(maxStarvedRun))))
+		_ = l.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(s.intN(int(maxStarvedPause))))
+		_ = l.Signal(syscall.SIGCONT)
+	}
+}
+
 func (s *soak) intN(most int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -272,6 +288,7 @@
 	calls := rateLimitFile(s.t, (&externalService{answer: s.respondByChance}).listenOn(s.t, 2)...)
 	s.fleet = startFleet(s.t, 4, func(f *fleet, _ int, config object) {
 		f.args = []string{"-log", "debug", "-ratelimit", calls}
+		f.clock = newSeededWallClock(s.t, s.seed)
 		set := config["settings"].(object)
 		changeClass(set, 0, object{"deadline": s.deadline.Seconds(), "aim": s.deadline.Seconds() / 2})
 		changeClass(set, 1, object{"deadline": s.deadline.Seconds(), "aim": s.deadline.Seconds() / 2, "semantics": s.semantics})
@@ -281,7 +298,7 @@
 		n.Handle = s.handleCommand
 	}
 	l := s.limiters[0]
-	crowded := s.seed%3 == 0
+	crowded, starved := s.seed%3 == 0, s.seed%4 == 1
 	var clients sync.WaitGroup
 	for k := range 12 {
 		clients.Go(func() { s.runClient(rand.New(rand.NewPCG(s.seed, uint64(k))), l.Addr) })
@@ -293,6 +310,9 @@
 		clients.Go(func() { s.reconnectIdleCrowd(l.Addr) })
 	}
 	time.Sleep(1100 * time.Millisecond) // no SIGHUP arrives in the first second of a process
+	if starved {
+		s.starve(l)
+	}
 	terminated := make(chan time.Time, 1)
 	clients.Go(func() { s.sendSignals(l, terminated) })
 	killAt := (<-terminated).Add(min(s.deadline, maxCountedDeadline) + killSlack)
@@ -353,7 +373,7 @@
 }
 
 // A limiter runs under clients that keep sending until it may be killed, with reloads, stops, a planned restart while nodes hang,
-// and sometimes a crowd of idle connections. Each request that it accepts is answered in time, and no try is sent that the rules
+// and sometimes a crowd of idle connections or a second with little processor time. The seed also draws the wall clock. Each request that it accepts is answered in time, and no try is sent that the rules
 // forbid.
 func TestSoak(t *testing.T) {
 	first, seeds := firstSoakSeed, soakSeeds
--- a/cmd/bramblefall/wallclock_test.go
+++ b/cmd/bramblefall/wallclock_test.go
@@ -3,6 +3,7 @@
 import (
 	encoding "encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -33,6 +34,23 @@
 	return c
 }
 
+const (
+	clockEpoch = 2_000_000_000    // seconds of Unix time at which a clock drawn from a seed begins at the earliest
+	clockRange = 10_000 * 100_000 // milliseconds of it from which the beginning is drawn
+)
+
+// newSeededWallClock returns a wall clock that begins at an instant drawn from a seed, whatever the machine's clock shows. What
+// limiters do at fixed moments of the wall clock, as the ends of their counting intervals, comes at the same moments of each run
+// with that seed.
+func newSeededWallClock(t *testing.T, seed uint64) *wallClock {
+	c := newWallClock(t)
+	rng := rand.New(rand.NewPCG(seed, 100))
+	begins := time.Unix(clockEpoch, 0).Add(time.Duration(rng.Int64N(clockRange)) * time.Millisecond)
+	c.step(time.Until(begins))
+	t.Logf("seed %d: the wall clock begins at %v", seed, begins.UTC())
+	return c
+}
+
 // step moves the clock, also for processes that run already.
 func (c *wallClock) step(by time.Duration) {
 	c.offset += by
--- a/internal/standin/limiter.go
+++ b/internal/standin/limiter.go
@@ -28,6 +28,11 @@
 
 // Start writes the configuration into dir, starts the program with it and waits until the program serves.
 func Start(binary, dir string, config any, args ...string) (*Limiter, error) {
+	return StartWithEnv(binary, dir, nil, config, args...)
+}
+
+// StartWithEnv is Start with another environment than that of this process; nil: the same.
+func StartWithEnv(binary, dir string, env []string, config any, args ...string) (*Limiter, error) {
 	raw, err := json.Marshal(config)
 	if err != nil {
 		return nil, err
@@ -37,6 +42,7 @@
 		return nil, err
 	}
 	l.Cmd = exec.Command(binary, append([]string{"-config", l.Path}, args...)...)
+	l.Cmd.Env = env
 	out, err := l.Cmd.StderrPipe()
 	if err != nil {
 		return nil, err
