--- a/cmd/bramblefall/fault_test.go
+++ b/cmd/bramblefall/fault_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"os"
@@ -9,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,7 +21,8 @@
 )
 
 // The fault tests run the real program, built with the race detector, against peers that break connections, stall, send
-// duplicates and send noise on every socket that the program has. BRAMBLEFALL_SCRIPTS sets how many connections play a fault
+// duplicates and send noise on every socket that the program has. The seed also draws the wall clock, and an odd one gives the
+// program little processor time. BRAMBLEFALL_SCRIPTS sets how many connections play a fault
 // script (make faults plays 100,000), BRAMBLEFALL_SEED the seed by which the scripts are drawn.
 
 const (
@@ -64,12 +67,20 @@
 	set["caps"].(object)["connIdle"] = connIdleSeconds
 	dir := t.TempDir()
 	rateLimitPath := writeJSON(t, filepath.Join(dir, "ratelimit.json"), object{"listen": reservedAddress(t)})
-	l, err := standin.Start(binary, dir, object{"name": "n0", "listen": reservedAddress(t), "seed": "8c1f30d27a5be964",
+	clock := newSeededWallClock(t, p.Seed)
+	l, err := standin.StartWithEnv(binary, dir, clock.environment(), object{"name": "n0", "listen": reservedAddress(t), "seed": "8c1f30d27a5be964",
 		"limits": object{"cores": 4.0, "memory_mb": 1024, "sockets": 1024}, "settings": set, "known": d.List(),
 		"counter": c.Addr, "discovery": d.Addr}, "-ratelimit", rateLimitPath)
 	require.NoError(t, err)
 	defer l.Kill()
+	starving, stopStarving := context.WithCancel(t.Context())
+	var starved sync.WaitGroup
+	if p.Seed%2 == 1 {
+		starved.Go(func() { starve(starving, l, p.Seed) })
+	}
 	w.RunClients(p, l.Addr, l.GRPCAddr, concurrentScripts)
+	stopStarving()
+	starved.Wait()
 	if crash := l.CrashLog(); crash != "" {
 		return w.Audit.Tally(), crash
 	}
--- a/cmd/bramblefall/heldup_test.go
+++ b/cmd/bramblefall/heldup_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bramblefall/internal/standin"
 )
 
 const (
@@ -34,6 +37,23 @@
 	}
 }
 
+const (
+	maxStarvedPause = 60 * time.Millisecond // without processor time
+	maxStarvedRun   = 6 * time.Millisecond  // between two such pauses
+)
+
+// starve stops and continues a limiter at moments drawn from a seed until the context ends, as on a machine that has little
+// processor time for it.
+func starve(ctx context.Context, l *standin.Limiter, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 101))
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(rng.Int64N(int64(maxStarvedRun))))
+		_ = l.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rng.Int64N(int64(maxStarvedPause))))
+		_ = l.Signal(syscall.SIGCONT)
+	}
+}
+
 // A limiter that gets too little processor time under a flood of clients must stay within its descriptor limit.
 //
 // In a load check with misbehaving clients such a limiter held 384 of its 384 descriptors, against 206 when it ran alone. Stopped
--- a/cmd/bramblefall/soak_test.go
+++ b/cmd/bramblefall/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -25,6 +26,7 @@
 	concurrentSoaks    = 6 // each runs a limiter, some clients and four nodes
 	firstSoakSeed      = 900
 	crowdConnections   = 300
+	starvedTime        = time.Second
 	lateAnswerGrace    = 500 * time.Millisecond
 	schedulingSlack    = 100 * time.Millisecond // delays of a busy machine, on top of what the operators' terms allow
 	killSlack          = 700 * time.Millisecond // the platform kills this long after the longest deadline
@@ -245,22 +247,6 @@
 	}
 }
 
-const (
-	starvedTime     = time.Second
-	maxStarvedPause = 60 * time.Millisecond // without processor time
-	maxStarvedRun   = 6 * time.Millisecond  // between two such pauses
-)
-
-// starve stops and continues the limiter at moments drawn from the seed, as on a machine that has little processor time for it.
-func (s *soak) starve(l *standin.Limiter) {
-	for until := time.Now().Add(starvedTime); time.Now().Before(until); {
-		time.Sleep(time.Duration(s.intN(int(maxStarvedRun))))
-		_ = l.Signal(syscall.SIGSTOP)
-		time.Sleep(time.Duration(s.intN(int(maxStarvedPause))))
-		_ = l.Signal(syscall.SIGCONT)
-	}
-}
-
 func (s *soak) intN(most int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -311,7 +297,9 @@
 	}
 	time.Sleep(1100 * time.Millisecond) // no SIGHUP arrives in the first second of a process
 	if starved {
-		s.starve(l)
+		ctx, cancel := context.WithTimeout(s.t.Context(), starvedTime)
+		starve(ctx, l, s.seed)
+		cancel()
 	}
 	terminated := make(chan time.Time, 1)
 	clients.Go(func() { s.sendSignals(l, terminated) })
