loop: after a pause of the process its readers go before its timers

What callers saw: on a full machine firms whose requests draw from the counter were held to even shares though the counter answered, and after three such pauses it was not called at all for a while.

Cause: Loop.Run processed the timers that were due before the readers of the connections had posted what the kernel held, so a call whose answer lay there was ended as timed out and the counter was blamed. counter.Client.maintain left the connection after 300 ms without asking the kernel for bytes.

Evidence: TestStoppedLimiterUsesCounterAnswer stops the process for 400 ms once the counter has a call.

Mend: a timer more than 25 ms late shows that the process had no processor time; then the readers get 5 ms first, three times at most. A call that had not left by its deadline is still told as timed out.

--- a/cmd/bramblefall/heldup_test.go
+++ b/cmd/bramblefall/heldup_test.go
@@ -149,3 +149,29 @@
 	require.Greater(t, values, requests/2, "too few values were served to prove anything")
 	t.Logf("%d signals, %d values", signals.Load(), values)
 }
+
+// A limiter that is stopped while the counter answers, for longer than a call may take, uses the answer when it goes on: its own
+// pause is no failure of the counter.
+func TestStoppedLimiterUsesCounterAnswer(t *testing.T) {
+	t.Parallel()
+	const (
+		rounds = 8
+		pause  = 400 * time.Millisecond // a call may take 250 ms, and a connection with answers due may be silent for 300 ms
+	)
+	c := newCounter(t)
+	c.replyDelay = 20 * time.Millisecond
+	set := settings()
+	set["balancers"], set["tariffs"] = 6, []object{plan("regular", 500, 5, 0)} // each request draws a unit
+	l := start(t, fixture{settings: set, servers: []*server{newServer(t, "s-1", "hall-a", replyValue("v"))}, counter: c})
+	client := l.dial()
+	for round := range rounds {
+		before := c.receivedCalls()
+		client.write(encodeCommand("Q.ASK", "0000000000000007", fmt.Sprintf("%04x", round), "c=balance-read,t=regular,d=4000,units=1,spread=6,first=0"))
+		require.Eventually(t, func() bool { return c.receivedCalls() > before }, testTimeout, time.Millisecond)
+		l.whileStopped(pause, func() {})
+		require.Equal(t, "v", client.readReply())
+		time.Sleep(50 * time.Millisecond)
+	}
+	require.NotContains(t, l.log.String(), "a call failed")
+	require.NotContains(t, l.log.String(), "no bytes from the counter")
+}
--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -462,6 +462,7 @@
 
 	mu         sync.Mutex
 	totals     map[string]float64
+	received   int // calls, answered or not
 	calls      int
 	conns      int
 	staleCalls int // calls on a connection after its corrupt reply
@@ -480,6 +481,9 @@
 			if c.corruptReply = ""; corrupted && lines.Text() != "ping" {
 				c.staleCalls++
 			}
+			if lines.Text() != "ping" {
+				c.received++
+			}
 			c.mu.Unlock()
 			if closing {
 				return
@@ -521,6 +525,13 @@
 	return "ok " + strconv.FormatFloat(c.totals[fields[1]], 'f', -1, 64)
 }
 
+// receivedCalls returns how many calls were received, answered or not.
+func (c *quotaCounter) receivedCalls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // callsAndConns returns how many calls were received and how many connections were accepted.
 func (c *quotaCounter) callsAndConns() (calls, conns int) {
 	c.mu.Lock()
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -126,6 +126,7 @@
 	defer timer.Stop()
 	var batch []core.Event
 	for ctx.Err() == nil {
+		l.awaitReaders()
 		l.mu.Lock()
 		batch, l.inbox = l.inbox, batch[:0]
 		l.mu.Unlock()
@@ -147,6 +148,27 @@
 	}
 }
 
+const (
+	maxTimerDelay = 25 * time.Millisecond // a timer that is later than this shows that this process had no processor time
+	readerTime    = 5 * time.Millisecond  // for the readers to post what arrived meanwhile
+	maxReaderWait = 3                     // waits for the readers in a row
+)
+
+// awaitReaders lets the readers of all connections go first after this process had no processor time for a while. The answers
+// that it waited for may have arrived meanwhile; timers that are processed before them would take them for missing.
+func (l *Loop) awaitReaders() {
+	for range maxReaderWait {
+		if len(l.timers) == 0 || Now()-l.timers[0].At <= maxTimerDelay {
+			return
+		}
+		began := Now()
+		time.Sleep(readerTime)
+		if Now()-began <= readerTime+maxTimerDelay {
+			return
+		}
+	}
+}
+
 // processBatch passes a batch of events and the timers that are due to the reducer, then runs the effects.
 func (l *Loop) processBatch(batch []core.Event) {
 	now, wallClockAhead := readClocks()
