logic: a keyed request is not refused once its key has expired

What callers saw: a refusal, which promises that trying again is harmless, for a request of a keyed class that may have run, after servers had ceased to drop its repeat.

Cause: finish left the key's time out of account, as its comment said. Evidence: the new test TestExpiredKeyIsFailedWhereAllServersDropRepeats got "refused" before and gets "failed" now, and "refused" within the key's time as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -112,14 +112,15 @@
 }
 
 // finish gives the one final answer. A refusal invites a retry, so it is given only where a retry is proven
-// harmless (the request is Safe, no attempt may have run, or all servers drop its repeat and no attempt is
-// out; the exception: an expired key is not considered), else a failure.
+// harmless (the request is Safe, no attempt may have run, or all servers still drop its repeat and no attempt
+// is out), else a failure.
 func (g *Gateway) finish(r *request, after time.Duration) {
 	if r.answered {
 		return
 	}
 	mayRun := r.mayHaveRun || r.server != nil
-	repeatIsDropped := r.class.Effect == Keyed && r.class.KeyGroup == GroupAll && r.server == nil
+	repeatIsDropped := r.class.Effect == Keyed && r.class.KeyGroup == GroupAll && r.server == nil &&
+		!g.keyExpired(r)
 	if r.class.Effect == Safe || !mayRun || repeatIsDropped {
 		g.do(Refuse{r.ID, min(max(after, g.timeUntilRoom(r.upstream)), g.set.MaxRetryAfter)})
 	} else {
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -649,6 +649,29 @@
 	}
 }
 
+// A refusal promises that trying again is harmless. A keyed request that may have run is refused while all servers drop its
+// repeat, and failed once its key has expired.
+func TestExpiredKeyIsFailedWhereAllServersDropRepeats(t *testing.T) {
+	const class = 3
+	set := testSettings()
+	if c := set.Classes[class]; c.Effect != Keyed || c.KeyGroup != GroupAll {
+		t.Fatal("the class has no key that all servers share")
+	}
+	for late, want := range map[bool]string{false: "refused", true: "failed"} {
+		h := newHarness(t, set, readyServers(2)...)
+		p := h.arrive(Request{Customer: 1, Class: class, Units: 1})
+		h.list(ServerList{Complete: true}) // no server is left for a repeat
+		if late {
+			h.run(set.Classes[class].KeyTTL+10*ms, nil)
+		}
+		h.end(p, Error)
+		h.run(set.Classes[class].KeyTTL-100*ms, nil)
+		if p.answer != want {
+			t.Errorf("answer %q, want %q (after the key expired: %v)", p.answer, want, late)
+		}
+	}
+}
+
 // Where servers have room for some requests only, the queue goes by worth: under congestion the same work must earn the most.
 func TestHighestWorthIsSentFirst(t *testing.T) {
 	set := testSettings()
