--- a/logic/tuning.go
+++ b/logic/tuning.go
@@ -93,10 +93,8 @@
 	// Each pause is drawn between half the mean and one and a half times the mean.
 	maxCounterBackoff = time.Second
 
-	// maxFullCounterBackoff is the same bound where the counter turned the call away (Full): the mean is doubled once more
-	// then. It has no effect at this value: the mean is at most twice maxCounterBackoff, since that bound is applied before
-	// the last doubling.
-	maxFullCounterBackoff = 4 * time.Second
+	// maxFullCounterBackoff is the same bound where the counter turned the call away (Full): the mean is doubled once more then.
+	maxFullCounterBackoff = 2 * maxCounterBackoff
 
 	// counterCallTimeout is the time-out of a counter call, or Settings.CounterLimit if that is longer: so long is an answer of
 	// use that no request waits for. Where a request of one of few gateways waits, the time-out is Settings.CounterLimit.
