--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,5 @@
 // Package discovery follows the list of servers over HTTP, by a watch that delivers the whole list first and then changes.
-// follow.go decides when to start a request and which watch to use, watch.go reads one watch.
+// follow.go decides when to start a request and which watch to use, watch.go reads one watch, monitor.go detects its stalls.
 package discovery
 
 import (
