loop: a limiter that could not run for a second says so, with its processor time

What a limiter that "did not wait for anything in 20 s" leaves behind was nothing. A loop whose timers come more than a second late now writes one line with how late and how much processor time the process had meanwhile: nearly none is the machine, nearly all the program. One look at the time used each second. TestStoppedLimiterLogsItsStall failed before (no such line).

--- a/cmd/bramblefall/heldup_test.go
+++ b/cmd/bramblefall/heldup_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -175,3 +176,18 @@
 	require.NotContains(t, l.log.String(), "a call failed")
 	require.NotContains(t, l.log.String(), "no bytes from the counter")
 }
+
+// A limiter that could not run for long says so, with the processor time that it had: nearly none where the machine gave it none.
+func TestStoppedLimiterLogsItsStall(t *testing.T) {
+	t.Parallel()
+	const maxProcessor = 500 * time.Millisecond // of a stop of 1.5 s
+	l := start(t, fixture{servers: []*server{newServer(t, "s-1", "hall-a", replyValue("v"))}})
+	time.Sleep(1100 * time.Millisecond) // until it has looked at its processor time once
+	l.whileStopped(1500*time.Millisecond, func() {})
+	l.waitForLog("the loop was held up")
+	words := regexp.MustCompile(`the loop was held up" for=(\S+) processor=(\S+) within=`).FindStringSubmatch(l.log.String())
+	require.NotNil(t, words, l.log.String())
+	processor, err := time.ParseDuration(words[2])
+	require.NoError(t, err)
+	require.Less(t, processor, maxProcessor)
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -54,6 +54,7 @@
 	wallClockAhead time.Duration // how far the wall clock is ahead of Now, as last reported to the reducer
 	timers         timers
 	effects        []core.Effect
+	stalls         stallLog
 	traceTries     bool // whether to log tries and outcomes at debug level; off in service
 }
 
@@ -126,6 +127,9 @@
 	defer timer.Stop()
 	var batch []core.Event
 	for ctx.Err() == nil {
+		if now := Now(); len(l.timers) > 0 {
+			l.stalls.check(now, now-l.timers[0].At)
+		}
 		l.awaitReaders()
 		l.mu.Lock()
 		batch, l.inbox = l.inbox, batch[:0]
