--- a/internal/lab/real.go
+++ b/internal/lab/real.go
@@ -83,11 +83,10 @@
 	firmSpecs       []model.FirmSpec
 	began           time.Time
 
-	requestedBuckets []tokenBucket   // by firm: the quota as drawn down by first tries, to tell which requests are inside it
-	inside           map[uint64]bool // not used
-	totals           RealResult      // counts so far; summarize fills in the shares and latencies
-	triesByTier      []int           // tries that ended
-	refusedByTier    []int           // tries that were rejected
+	requestedBuckets []tokenBucket // by firm: the quota as drawn down by first tries, to tell which requests are inside it
+	totals           RealResult    // counts so far; summarize fills in the shares and latencies
+	triesByTier      []int         // tries that ended
+	refusedByTier    []int         // tries that were rejected
 	worthServed      float64
 	worthAsked       float64 // by requests inside the quotas
 }
@@ -110,7 +109,7 @@
 		}
 	}
 	run := &realRun{scenario: scenario, seed: seed, nodes: map[string]*realNode{}, meanWorkByClass: model.DrawWork(scenario, seed), firmByID: map[uint64]int{},
-		firmSpecs: model.DrawFirms(scenario, seed), inside: map[uint64]bool{}, triesByTier: make([]int, len(scenario.Tiers)), refusedByTier: make([]int, len(scenario.Tiers))}
+		firmSpecs: model.DrawFirms(scenario, seed), triesByTier: make([]int, len(scenario.Tiers)), refusedByTier: make([]int, len(scenario.Tiers))}
 	run.sendLog = NewSendLog(len(run.firmSpecs))
 	for i := range scenario.Nodes {
 		run.nodes[fmt.Sprintf("s-%d", i)] = &realNode{spec: scenario.Node, rng: rand.New(rand.NewPCG(seed, uint64(i)))}
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -176,8 +176,11 @@
 	}
 	defer f.Close()
 	rows, err := csv.NewReader(f).ReadAll()
-	if err != nil || len(rows) < 2 {
-		return fmt.Errorf("%s: not a CSV table with a heading and at least one row: %w", path, err)
+	if err != nil {
+		return fmt.Errorf("%s: not a CSV table: %w", path, err)
+	}
+	if len(rows) < 2 {
+		return fmt.Errorf("%s: %d rows, want a heading and at least one row", path, len(rows))
 	}
 	index := slices.Index(rows[0], column)
 	if index < 0 {
--- a/internal/model/limiter.go
+++ b/internal/model/limiter.go
@@ -46,7 +46,6 @@
 	leavingSince   map[logic.ServerID]time.Duration // when the limiter was told that the node drains or is gone
 	lastUpdateAt   time.Duration                    // when the last update of discovery arrives
 	openRequests   map[*request]struct{}
-	downAt         time.Duration
 	downDetectedAt time.Duration // when the front notices the crash
 	dispatching    bool          // an event is being handled; further events wait in inbox
 	inbox          []core.Event
@@ -121,7 +120,6 @@
 		f.discard()
 	}
 	l.attempts = nil
-	l.downAt = l.w.sim.now
 	l.downDetectedAt = l.w.sim.now + seconds(l.w.s.Clients.DownDetectionSeconds.draw(l.w.rng))
 	for _, r := range l.openInOrder() {
 		r.loseLimiter()
--- a/internal/model/node.go
+++ b/internal/model/node.go
@@ -10,25 +10,24 @@
 // node is an exchange node: cores, a limited number of requests that share them, and a bounded queue. A process that starts
 // is cold, and its speed grows linearly until it is warm.
 type node struct {
-	w                *World
-	id               logic.ServerID
-	hall             int
-	cores            int
-	speed            float64 // of one core, relative to a core of speed 1
-	rng              *rand.Rand
-	state            logic.ServerState // the true state, which limiters learn late
-	started          time.Duration     // 0: before the run, so that it is warm
-	up               bool
-	pausedUntil      time.Duration // no request ends earlier
-	incarnation      int           // counts the ends of its process; jobs of an earlier incarnation are lost
-	inService        int
-	queue            []*job
-	conns            int
-	idle             []int // idle connections by limiter
-	collapsed        bool  // overloaded while cold: it stays down for the rest of the run
-	recentWork       []workArrival
-	attemptsReceived int             // received whole
-	answeredAt       []time.Duration // times of the answers in the last second; empty unless throughput is reported
+	w           *World
+	id          logic.ServerID
+	hall        int
+	cores       int
+	speed       float64 // of one core, relative to a core of speed 1
+	rng         *rand.Rand
+	state       logic.ServerState // the true state, which limiters learn late
+	started     time.Duration     // 0: before the run, so that it is warm
+	up          bool
+	pausedUntil time.Duration // no request ends earlier
+	incarnation int           // counts the ends of its process; jobs of an earlier incarnation are lost
+	inService   int
+	queue       []*job
+	conns       int
+	idle        []int // idle connections by limiter
+	collapsed   bool  // overloaded while cold: it stays down for the rest of the run
+	recentWork  []workArrival
+	answeredAt  []time.Duration // times of the answers in the last second; empty unless throughput is reported
 }
 
 // workArrival is work that a node received while it was cold.
@@ -71,7 +70,6 @@
 
 // accept queues an attempt that was received whole, or rejects it if the queue is full or the node drains.
 func (n *node) accept(j *job) {
-	n.attemptsReceived++
 	k := n.w.s.Node
 	n.w.audit.recordNodeWork(n, j.work)
 	if n.inService >= k.MaxRunning && len(n.queue) >= k.MaxQueued || n.state == logic.Draining {
--- a/logic/state.go
+++ b/logic/state.go
@@ -120,7 +120,6 @@
 	counters     []*counter // those that have been called, by number
 	counterCount int        // counters that names are spread over
 
-	startedAt  time.Duration // the first event
 	lastSecond time.Duration // the last time that the work of each second was done
 	nextWatch  time.Duration // the list of servers is not asked for again before
 
@@ -169,7 +168,7 @@
 	}
 	if !g.started {
 		g.started = true
-		g.lastSecond, g.startedAt = g.now, g.now
+		g.lastSecond = g.now
 		g.do(SetTimer{tickToken, tick})
 	}
 	switch e := ev.(type) {
