logic: the answer to an added deficit is not taken for a firm's load

Such an answer may come once its interval has begun, before any draw from it, and then showed a load of 1 (two units are added to use and allowance), which thins draws that cannot ask for 8 s. Found on rereading.

--- a/logic/draws.go
+++ b/logic/draws.go
@@ -104,16 +104,16 @@
 
 // onQuotaUse takes the total after a draw of units.
 func (g *Gateway) onQuotaUse(made call, e CountResult) {
+	r := made.request
+	if r == nil { // it added a deficit
+		return
+	}
 	c, count := made.customer, made.customer.useCountOf(e.Total)
 	elapsed := g.now - c.intervalStart(made.interval)
 	current := made.interval == c.intervalNumber
 	if current {
 		g.noteQuotaLoad(c, count, elapsed)
 	}
-	r := made.request
-	if r == nil {
-		return
-	}
 	if count.units <= c.grantable(count.deficit, elapsed)+drawTolerance {
 		if g.onDraw(r, true, 0) {
 			g.carryDeficit(c, made.interval, c.deficitLeft(count, r.Units, elapsed))
