--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -71,14 +71,14 @@
 	}
 }
 
-// maintain closes connections that are stalled (not those whose bytes this process has had no time to read) or no longer needed, pings the current one before the counter would close
+// maintain closes connections that are stalled or no longer needed, pings the current one before the counter would close
 // it as idle, and dials if there is none to the current address.
 func (c *Client) maintain() {
 	for _, conn := range []*connection{c.previous, c.current} {
 		if conn == nil {
 			continue
 		}
-		if len(conn.pending) > 0 && time.Since(conn.pending[0].sentAt) > stallTimeout && time.Since(conn.lastRead) > stallTimeout && conn.sock.Drained() {
+		if conn.isStalled() {
 			slog.Warn("no bytes from the counter while answers are due, reconnecting")
 			conn.disconnect()
 		} else if c.onDemand && len(conn.pending) == 0 && time.Since(c.lastCall) > c.set.currentIdleTimeout() {
@@ -100,6 +100,16 @@
 	}
 }
 
+// isStalled reports whether answers are due and nothing has come for stallTimeout. Bytes that this process has had no time to
+// read show that the counter is not to blame.
+func (conn *connection) isStalled() bool {
+	if len(conn.pending) == 0 {
+		return false
+	}
+	silent := time.Since(conn.pending[0].sentAt) > stallTimeout && time.Since(conn.lastRead) > stallTimeout
+	return silent && conn.sock.Drained()
+}
+
 // Count sends a call. Without a connection the call is queued until one is established; it is not sent once the reducer
 // no longer waits for it.
 func (c *Client) Count(e core.Count) {
