--- a/internal/lab/plans.go
+++ b/internal/lab/plans.go
@@ -402,67 +402,110 @@
 // allowed; then only the new ones are.
 const propagationGrace = 500 * time.Millisecond
 
+// plansEvaluation is what evaluate derives from a run with changes.
+type plansEvaluation struct {
+	run      *plansRun
+	began    time.Time
+	timeline PlanTimeline
+	changes  []planChange
+	windows  [][2]time.Time // the second after each change
+
+	sentInWindow     map[string][]float64 // by tier, units sent on in each window
+	beyondInWindow   map[string][]float64 // by tier, those of them beyond the quota
+	firmCount        map[string]float64   // by tier
+	worstCeiling     float64              // units by which a ceiling with its slack was exceeded
+	ceilingDetails   string
+	worstOverPercent float64 // units beyond a quota in a window, of the larger plan's
+}
+
+var planTierNames = []string{"associate", "regular", "full"}
+
 // evaluate compares what was passed on with the plan figures in force, checks the bounds and adds the tables. reservedUnits
 // is the size of the reservation, and usedUnits is how much of it was drawn.
 func (r *plansRun) evaluate(result *Result, began time.Time, changes []planChange, reservedFirm *Firm, reservedUnits, usedUnits, cpuMicros float64) {
-	timeline := r.planTimeline(began, changes)
-	var windows [][2]time.Time
+	e := &plansEvaluation{run: r, began: began, timeline: r.planTimeline(began, changes), changes: changes,
+		sentInWindow: map[string][]float64{}, beyondInWindow: map[string][]float64{}, firmCount: map[string]float64{}}
 	for _, change := range changes {
-		windows = append(windows, [2]time.Time{change.effectiveAt, change.effectiveAt.Add(time.Second)})
+		e.windows = append(e.windows, [2]time.Time{change.effectiveAt, change.effectiveAt.Add(time.Second)})
 	}
-	versions := &Table{Name: "plans-versions", Columns: []string{"version", "scale", "tier", "units in the second after", "beyond, % of the larger plan", "in force after ms"}}
 	tiers := &Table{Name: "plans-tiers", Columns: []string{"tier", "units sent on", "beyond quota %", "ceiling overshoot units", "refused", "refused with room"}}
-	worstPercent, worstCeilingUnits, ceilingDetails := 0.0, 0.0, ""
-	chartLines := map[string]plotter.XYs{}
-	tierNames := []string{"associate", "regular", "full"}
-	unitsSentInWindow, unitsBeyondInWindow, firmCountByTier := map[string][]float64{}, map[string][]float64{}, map[string]float64{}
-	for _, tier := range tierNames {
-		var tierUse QuotaUse
-		tierUse.BeyondQuotaInWindow, tierUse.SentInWindow = make([]float64, len(windows)), make([]float64, len(windows))
-		refusedCount, refusedWithRoomCount := 0, 0
-		for i, firm := range r.fleet.Load.Firms {
-			if firm.Tier != tier {
-				continue
-			}
-			firmCountByTier[tier]++
-			reservedUsed := 0.0
-			if firm == reservedFirm {
-				reservedUsed = usedUnits
-			}
-			use := r.sendLog.Evaluate(i, tier, timeline, began, propagationGrace, reservedUsed, windows)
-			tierUse.Sent, tierUse.BeyondQuota, tierUse.OverCeiling = tierUse.Sent+use.Sent, tierUse.BeyondQuota+use.BeyondQuota, max(tierUse.OverCeiling, use.OverCeiling)
-			if use.OverCeiling > 0 {
-				ceilingDetails += r.diagnostics.describeWorstSend(firm, use)
-			}
-			for window := range windows {
-				tierUse.BeyondQuotaInWindow[window] += use.BeyondQuotaInWindow[window]
-				tierUse.SentInWindow[window] += use.SentInWindow[window]
-			}
-			firmRefusedCount, firmRefusedWithRoomCount := r.countRefusals(i, tier, timeline, began)
-			refusedCount, refusedWithRoomCount = refusedCount+firmRefusedCount, refusedWithRoomCount+firmRefusedWithRoomCount
+	for _, tier := range planTierNames {
+		e.evaluateTier(tier, tiers, reservedFirm, usedUnits)
+	}
+	versions, chartLines := e.checkChanges(result)
+	e.checkRules(result, reservedUnits, usedUnits)
+	result.Tables = append(result.Tables, versions, tiers, r.totalsTable(reservedUnits, usedUnits, cpuMicros))
+	r.writeOvershootChart(chartLines)
+	result.Summary = fmt.Sprintf("worst overshoot of a quota in the second after a change %.2f%%, of the ceiling %.2f units, reservation %.1f%% drawn",
+		e.worstOverPercent, max(e.worstCeiling, 0), 100*usedUnits/reservedUnits)
+}
+
+// evaluateTier adds up what was passed on for the firms of a tier, and adds the tier's row to the table.
+func (e *plansEvaluation) evaluateTier(tier string, table *Table, reservedFirm *Firm, usedUnits float64) {
+	var sum QuotaUse
+	sum.BeyondQuotaInWindow, sum.SentInWindow = make([]float64, len(e.windows)), make([]float64, len(e.windows))
+	refused, refusedWithRoom := 0, 0
+	for i, firm := range e.run.fleet.Load.Firms {
+		if firm.Tier != tier {
+			continue
 		}
-		tiers.Add(tier, tierUse.Sent, 100*tierUse.BeyondQuota/max(tierUse.Sent, 1), tierUse.OverCeiling, refusedCount, refusedWithRoomCount)
-		worstCeilingUnits = max(worstCeilingUnits, tierUse.OverCeiling)
-		unitsSentInWindow[tier], unitsBeyondInWindow[tier] = tierUse.SentInWindow, tierUse.BeyondQuotaInWindow
+		e.firmCount[tier]++
+		reservedUsed := 0.0
+		if firm == reservedFirm {
+			reservedUsed = usedUnits
+		}
+		use := e.run.sendLog.Evaluate(i, tier, e.timeline, e.began, propagationGrace, reservedUsed, e.windows)
+		sum.Sent, sum.BeyondQuota = sum.Sent+use.Sent, sum.BeyondQuota+use.BeyondQuota
+		sum.OverCeiling = max(sum.OverCeiling, use.OverCeiling)
+		if use.OverCeiling > 0 {
+			e.ceilingDetails += e.run.diagnostics.describeWorstSend(firm, use)
+		}
+		for window := range e.windows {
+			sum.BeyondQuotaInWindow[window] += use.BeyondQuotaInWindow[window]
+			sum.SentInWindow[window] += use.SentInWindow[window]
+		}
+		firmRefused, firmRefusedWithRoom := e.run.countRefusals(i, tier, e.timeline, e.began)
+		refused, refusedWithRoom = refused+firmRefused, refusedWithRoom+firmRefusedWithRoom
 	}
-	for window, change := range changes {
-		for _, tier := range tierNames {
+	table.Add(tier, sum.Sent, 100*sum.BeyondQuota/max(sum.Sent, 1), sum.OverCeiling, refused, refusedWithRoom)
+	e.worstCeiling = max(e.worstCeiling, sum.OverCeiling)
+	e.sentInWindow[tier], e.beyondInWindow[tier] = sum.SentInWindow, sum.BeyondQuotaInWindow
+}
+
+// checkChanges checks the second after each change, and how soon it was in force. It returns the table of the versions and
+// the lines of the chart.
+func (e *plansEvaluation) checkChanges(result *Result) (versions *Table, chartLines map[string]plotter.XYs) {
+	versions = &Table{Name: "plans-versions", Columns: []string{"version", "scale", "tier", "units in the second after", "beyond, % of the larger plan", "in force after ms"}}
+	chartLines = map[string]plotter.XYs{}
+	for window, change := range e.changes {
+		for _, tier := range planTierNames {
 			// The share is of what the larger of both plans grants all firms of the tier in that second.
-			after, before := timeline.LargestPlan(tier, change.effectiveAt.Add(time.Second)), timeline.LargestPlan(tier, change.effectiveAt.Add(-time.Millisecond))
-			overPercent := 100 * unitsBeyondInWindow[tier][window] / (max(after.Rate, before.Rate) * firmCountByTier[tier])
-			versions.Add(change.version.Number, change.scale, tier, unitsSentInWindow[tier][window], overPercent, float64(change.inForceDelay.Microseconds())/1000)
+			after, before := e.timeline.LargestPlan(tier, change.effectiveAt.Add(time.Second)), e.timeline.LargestPlan(tier, change.effectiveAt.Add(-time.Millisecond))
+			beyond := e.beyondInWindow[tier][window]
+			overPercent := 100 * beyond / (max(after.Rate, before.Rate) * e.firmCount[tier])
+			versions.Add(change.version.Number, change.scale, tier, e.sentInWindow[tier][window], overPercent, float64(change.inForceDelay.Microseconds())/1000)
 			chartLines[tier] = append(chartLines[tier], plotter.XY{X: float64(change.version.Number), Y: overPercent})
-			worstPercent = max(worstPercent, overPercent)
-			result.checkBound(overPercent <= 10 || unitsBeyondInWindow[tier][window] <= 2, "version %d, %s: %.1f%% of the larger quota was passed on beyond it in the second after; 10%% or 2 units at most are allowed", change.version.Number, tier, overPercent)
+			e.worstOverPercent = max(e.worstOverPercent, overPercent)
+			result.checkBound(overPercent <= 10 || beyond <= 2, "version %d, %s: %.1f%% of the larger quota was passed on beyond it in the second after; 10%% or 2 units at most are allowed", change.version.Number, tier, overPercent)
 		}
 		result.checkBound(change.inForceDelay <= propagationGrace, "version %d was in force at all limiters only after %s, want at most %s", change.version.Number, change.inForceDelay, propagationGrace)
 	}
-	result.checkRule(worstCeilingUnits <= 0, "the ceiling with its slack was exceeded by %.2f units%s", worstCeilingUnits, ceilingDetails)
+	return versions, chartLines
+}
+
+// checkRules checks the rules of the run as a whole.
+func (e *plansEvaluation) checkRules(result *Result, reservedUnits, usedUnits float64) {
+	r := e.run
+	result.checkRule(e.worstCeiling <= 0, "the ceiling with its slack was exceeded by %.2f units%s", e.worstCeiling, e.ceilingDetails)
 	result.checkRule(r.outcomes[Unanswered] == 0 && r.outcomes[ConnectionLost] == 0, "%d requests without a final answer, %d cut off%s", r.outcomes[Unanswered], r.outcomes[ConnectionLost],
 		r.diagnostics.describeWithoutAnswer(r.fleet.Load.Firms))
 	result.checkBound(usedUnits >= 0.97*reservedUnits, "of a reservation of %.0f units only %.0f were drawn, want at least 97%%", reservedUnits, usedUnits)
 	result.checkRule(usedUnits <= reservedUnits+1e-6, "of a reservation of %.0f units %.0f were drawn", reservedUnits, usedUnits)
-	result.checkBound(len(changes) > 0, "no version of the plans was applied")
+	result.checkBound(len(e.changes) > 0, "no version of the plans was applied")
+}
+
+// totalsTable has the figures of the run as a whole.
+func (r *plansRun) totalsTable(reservedUnits, usedUnits, cpuMicros float64) *Table {
 	totals := &Table{Name: "plans-run", Columns: []string{"figure", "value"}}
 	for i, name := range []string{"served", "admitted", "refused", "failed", "cut off", "unanswered"} {
 		totals.Add(name, r.outcomes[i])
@@ -472,16 +515,19 @@
 	totals.Add("CPU us per request", cpuMicros)
 	totals.Add("latency ms, median", float64(r.fleet.Load.Latency.ValueAtQuantile(50))/1000)
 	totals.Add("latency ms, 99th percentile", float64(r.fleet.Load.Latency.ValueAtQuantile(99))/1000)
-	result.Tables = append(result.Tables, versions, tiers, totals)
-	if r.OutputDir != "" && len(changes) > 1 {
-		_ = os.MkdirAll(r.OutputDir, 0o755)
-		chart := Chart{Name: "plans-overshoot", Title: "Units beyond the larger quota in the second after a change", XLabel: "version", YLabel: "per cent of the larger plan", Lines: chartLines}
-		if err := chart.WriteSVG(r.OutputDir); err != nil {
-			r.Logf("the chart could not be written: %v", err)
-		}
+	return totals
+}
+
+// writeOvershootChart draws the units beyond quotas in the second after each change, where charts are wanted.
+func (r *plansRun) writeOvershootChart(lines map[string]plotter.XYs) {
+	if r.OutputDir == "" || len(lines[planTierNames[0]]) < 2 {
+		return
+	}
+	_ = os.MkdirAll(r.OutputDir, 0o755)
+	chart := Chart{Name: "plans-overshoot", Title: "Units beyond the larger quota in the second after a change", XLabel: "version", YLabel: "per cent of the larger plan", Lines: lines}
+	if err := chart.WriteSVG(r.OutputDir); err != nil {
+		r.Logf("the chart could not be written: %v", err)
 	}
-	result.Summary = fmt.Sprintf("worst overshoot of a quota in the second after a change %.2f%%, of the ceiling %.2f units, reservation %.1f%% drawn",
-		worstPercent, max(worstCeilingUnits, 0), 100*usedUnits/reservedUnits)
 }
 
 // countRefusals counts a firm's rejected tries, and those of them at which at least half of its token bucket was left.
