lab: a pause of the load generator is not blamed on the limiters

Stopped once for 6 s it fails at will (8 without an answer, 1,746 cut off).

Cause: the load generator.

Mend: what has arrived is read once more after the deadline, arrivals of a pause are left out, and a request on a connection that the lab itself left idle is sent again.

--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -106,8 +108,10 @@
 }
 
 type respConn struct {
-	conn   net.Conn
-	parser resp.Parser
+	conn      net.Conn
+	parser    resp.Parser
+	dialedAt  time.Time
+	writtenAt time.Time // the last command
 }
 
 // NewLoad returns a load generator for the given number of limiters, without firms and without addresses.
@@ -163,6 +167,9 @@
 			return
 		case <-time.After(time.Until(due)):
 		}
+		if time.Since(due) > maxArrivalDelay { // made up for, the arrivals of a pause would be a flood that no firm sent
+			due = time.Now()
+		}
 		class, x := 0, rng.Float64()
 		for class < len(l.Classes)-1 && x >= l.Classes[class].Share {
 			x -= l.Classes[class].Share
@@ -248,15 +255,28 @@
 	if addr == "" {
 		return nil, false, false
 	}
-	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	dialedAt := time.Now()
+	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	for err != nil && time.Since(dialedAt) > dialTimeout+maxArrivalDelay { // the lab's process stood still meanwhile
+		dialedAt = time.Now()
+		conn, err = net.DialTimeout("tcp", addr, dialTimeout)
+	}
 	if err != nil {
 		return nil, false, false
 	}
-	return &respConn{conn: conn}, false, true
+	return &respConn{conn: conn, dialedAt: dialedAt}, false, true
 }
 
+const (
+	dialTimeout     = time.Second
+	maxArrivalDelay = 500 * time.Millisecond // a request that is later than this shows that the lab's process stood still
+	maxDialToWrite  = 2 * time.Second        // a limiter closes a connection that brings no command for 2.4 s
+	pendingReadTime = 5 * time.Millisecond   // to read an answer that arrived while the lab's process stood still
+)
+
 // tryRESP makes one try over RESP2. A limiter may close an idle connection at the moment in which a request is sent on it.
-// The request is then sent once more, on a new connection.
+// The request is then sent once more, on a new connection. So it is if the lab's process stood still between dialing and
+// sending.
 func (l *Load) tryRESP(target *limiterTarget, firm *Firm, class Class, id uint64, retry bool, timeout time.Duration) (Outcome, time.Duration) {
 	options := fmt.Sprintf("c=%s,t=%s,d=%d,units=1,spread=%d,first=%d", class.Name, firm.Tier, max(timeout.Milliseconds(), 1), firm.Spread, firm.FirstLimiter)
 	if retry {
@@ -276,7 +296,8 @@
 			return ConnectionLost, 0
 		}
 		outcome, retryAfter, noData := conn.exchange(command, timeout)
-		if outcome == ConnectionLost && reused && noData {
+		idle := reused || conn.writtenAt.Sub(conn.dialedAt) > maxDialToWrite
+		if outcome == ConnectionLost && idle && noData {
 			continue
 		}
 		if outcome != ConnectionLost && outcome != Unanswered {
@@ -295,10 +316,20 @@
 func (c *respConn) exchange(command []byte, timeout time.Duration) (outcome Outcome, retryAfter time.Duration, noData bool) {
 	_ = c.conn.SetDeadline(time.Now().Add(max(timeout, 0) + time.Second))
 	_, err := c.conn.Write(command)
+	c.writtenAt = time.Now()
+	if errors.Is(err, os.ErrDeadlineExceeded) { // not written: the lab's process stood still
+		_ = c.conn.Close()
+		return ConnectionLost, 0, true
+	}
 	buf := make([]byte, 4096)
+	pendingRead := false
 	for noData = true; err == nil; {
 		var n int
 		n, err = c.conn.Read(buf)
+		if errors.Is(err, os.ErrDeadlineExceeded) && !pendingRead {
+			pendingRead = true
+			err = c.conn.SetReadDeadline(time.Now().Add(pendingReadTime))
+		}
 		noData = noData && n == 0
 		c.parser.Feed(buf[:n])
 		if r, ok, _ := c.parser.Reply(); ok {
