logic: a deficit that an interval began with counts in what it leaves to the next

What callers saw: after a burst late in an interval and use as fast as it was refilled in the next one, the interval after that opened with units that had never been refilled. 12 units were granted in 101 s where a burst of 5 at 0.05 a second allows 10.05 (TestDeficitIsCarriedOverSeveralIntervals, failed before).

Cause: deficitLeft took the units of its own interval alone. Found on rereading the proof. Now what is still missing of that deficit is added: either all of it is refilled before the grant, or the sum of what the grants leave is the deficit and the units less the interval's refill.

--- a/logic/draws.go
+++ b/logic/draws.go
@@ -63,10 +63,11 @@
 }
 
 // deficitLeft is the deficit at an interval's end that is left by units granted in it as the last of a count: the part of them
-// that will not have been refilled by then.
+// that will not have been refilled by then, after what is still missing since the interval began.
 func (c *customer) deficitLeft(count useCount, units float64, elapsed time.Duration) float64 {
+	outstanding := max(0, count.deficit-c.plan.Rate*elapsed.Seconds())
 	refilled := c.plan.Rate * (c.interval - elapsed).Seconds()
-	return max(0, min(units, count.units-refilled))
+	return max(0, min(units, outstanding+count.units-refilled))
 }
 
 // drawOnDemand draws from the counter for one request, where a share cannot hold one: the request adds its units to the
--- a/logic/draws_test.go
+++ b/logic/draws_test.go
@@ -108,6 +108,29 @@
 	}
 }
 
+// A deficit that an interval began with is carried on by what is granted while it is refilled: the interval after it does not
+// open with units that were never refilled.
+func TestDeficitIsCarriedOverSeveralIntervals(t *testing.T) {
+	p := Plan{Rate: 0.05, Burst: 5, Price: 1}
+	f := newFleet(t, p, 6)
+	f.use(0, 1) // makes the customer's record, which tells when its intervals end
+	c := f.gateways[0].g.customers[7]
+	end := c.intervalEnd() + c.interval
+	f.run(end-time.Second-f.now(), nil)
+	began, used := f.now(), f.use(0, 8)
+	for range 4 { // each as soon as its unit has been refilled
+		f.run(21*time.Second, nil)
+		used += f.use(1, 1)
+	}
+	f.run(end+c.interval+10*ms-f.now(), nil)
+	used += f.use(2, 8) + f.use(3, 8)
+	if most := p.Burst + p.Rate*(f.now()-began).Seconds(); float64(used) > most {
+		t.Errorf("%d units granted within %v, want at most %.2f", used, f.now()-began, most)
+	} else if used < 9 {
+		t.Errorf("%d units granted, want the burst and the four that were refilled at least", used)
+	}
+}
+
 // All gateways together keep to a customer's token bucket at every moment, whatever the demand, and leave little of a quota
 // unused that is asked for.
 func TestDrawsOnDemandKeepToTheBucket(t *testing.T) {
