--- /dev/null
+++ b/cmd/bramblefall/flood_test.go
@@ -0,0 +1,427 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	bigendian "encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+// The flood tests let every kind of peer send more than the limiter can handle, or not read what it sends, and look at the whole
+// resident set of the process, which the platform counts against memory_mb. The seed draws the memory limit and the share of a
+// core of each flood; BRAMBLEFALL_SEED sets it, and BRAMBLEFALL_FLOODS=all plays every flood at every limit and share.
+
+const (
+	firstFloodSeed    = 51
+	floodRoom         = 150 // attackers who leave room for the clients that behave
+	floodCrowd        = 320 // attackers who do not
+	floodSockets      = 384 // descriptors of a limiter under a flood
+	floodDuration     = 4 * time.Second
+	concurrentFloods  = 4
+	floodWriteTimeout = 2 * time.Second
+	politeInterval    = 50 * time.Millisecond // between two requests of a client that behaves
+	politeBodyBytes   = 8 << 10
+	recoveryTimeout   = 15 * time.Second // for memory to come down after a flood
+	floodHighWater    = 1.0              // of the memory limit, for the whole resident set at its highest
+	recoveredShare    = 0.75             // of the memory limit, for the resident set after a flood
+)
+
+var floodMemoryLimits = []int{32, 48, 64, 192} // MB
+
+// floodEnvironment is what an attacker may use: the limiter's addresses and numbers that are used once.
+type floodEnvironment struct {
+	limiter *limiter
+	socket  string // of the admin service
+	ids     atomic.Int64
+}
+
+func (e *floodEnvironment) request(body string) string {
+	n := e.ids.Add(1)
+	args := askArgs(fmt.Sprintf("%012x", n))
+	if body != "" {
+		args = append(doArgs(fmt.Sprintf("%012x", n))[:4], body)
+	}
+	args[1] = fmt.Sprintf("%016x", n)
+	return encodeCommand(args...)
+}
+
+// flood is one kind of peer that misbehaves.
+type flood struct {
+	name      string
+	attackers int
+	setUp     func(t *testing.T, f *fixture, path string)
+	attack    func(ctx context.Context, e *floodEnvironment, conn net.Conn) // plays one connection
+	network   func(e *floodEnvironment) (network, addr string)              // that attackers dial; nil: the RESP2 front
+}
+
+func writeAll(conn net.Conn, text string) error {
+	_ = conn.SetWriteDeadline(time.Now().Add(floodWriteTimeout))
+	_, err := io.WriteString(conn, text)
+	return err
+}
+
+// sendEndlessly writes what next returns until the connection ends or a write times out, then rests until ctx ends.
+func sendEndlessly(next func(e *floodEnvironment) string, reads bool) func(context.Context, *floodEnvironment, net.Conn) {
+	return func(ctx context.Context, e *floodEnvironment, conn net.Conn) {
+		if reads {
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+		for ctx.Err() == nil {
+			if err := writeAll(conn, next(e)); err != nil && !os.IsTimeout(err) {
+				return
+			}
+		}
+	}
+}
+
+func repeated(text string, times int) func(*floodEnvironment) string {
+	all := strings.Repeat(text, times)
+	return func(*floodEnvironment) string { return all }
+}
+
+func manyRequests(e *floodEnvironment) string {
+	var all strings.Builder
+	for range 100 {
+		all.WriteString(e.request(""))
+	}
+	return all.String()
+}
+
+var largeBody = strings.Repeat("p", 63<<10)
+
+func largeRequest(e *floodEnvironment) string { return e.request(largeBody) }
+
+func goodServers(t *testing.T, n int, answer func(net.Conn, []string)) (list []*server) {
+	for range n {
+		list = append(list, newServer(t, fmt.Sprintf("s-good-%d", len(list)), "hall-a", answer))
+	}
+	return list
+}
+
+// spoiltServers adds servers whose answers are not what they should be to two that work.
+func spoiltServers(answer func(net.Conn, []string)) func(*testing.T, *fixture, string) {
+	return func(t *testing.T, f *fixture, _ string) {
+		for k := range 6 {
+			f.servers = append(f.servers, newServer(t, fmt.Sprintf("s-spoilt-%d", k), "hall-b", answer))
+		}
+	}
+}
+
+func pour(conn net.Conn, text string, bytes int) {
+	for sent := 0; sent < bytes; sent += len(text) {
+		if writeAll(conn, text) != nil {
+			return
+		}
+	}
+}
+
+const endlessBytes = 64 << 20
+
+func sendGRPCFlood(path string, claimed, sent int) func(context.Context, *floodEnvironment, net.Conn) {
+	return func(ctx context.Context, _ *floodEnvironment, conn net.Conn) {
+		var text bytes.Buffer
+		framer := http2.NewFramer(&text, nil)
+		text.WriteString(http2.ClientPreface)
+		_ = framer.WriteSettings()
+		_ = framer.WriteWindowUpdate(0, 1<<30)
+		for stream := uint32(1); stream < 1<<20 && ctx.Err() == nil; stream += 2 {
+			var block bytes.Buffer
+			fields := hpack.NewEncoder(&block)
+			for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", path}, {":authority", "a"},
+				{"content-type", "application/grpc"}, {"te", "trailers"}, {"x-padding", strings.Repeat("h", 2000)}} {
+				_ = fields.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
+			}
+			_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true})
+			message := make([]byte, sent)
+			if sent > 0 {
+				bigendian.BigEndian.PutUint32(message[1:], uint32(claimed))
+			}
+			for len(message) > 0 {
+				n := min(len(message), 16<<10)
+				_ = framer.WriteData(stream, false, message[:n])
+				message = message[n:]
+			}
+			if err := writeAll(conn, text.String()); err != nil {
+				return
+			}
+			text.Reset()
+		}
+	}
+}
+
+const (
+	checkPath = "/envoy.service.ratelimit.v3.RateLimitService/ShouldRateLimit"
+	applyPath = "/bramblefall.admin.v1.Admin/ApplyPlans"
+)
+
+func floods() []flood {
+	endlessLists := func(line func(n int) string, first string) func(*testing.T, *fixture, string) {
+		return func(t *testing.T, f *fixture, _ string) {
+			f.registry = newAgent(t, func(_ int, conn net.Conn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"+first)
+				for n, sent := 0, 0; sent < endlessBytes; n++ {
+					text := line(n)
+					if sent += len(text); writeAll(conn, text) != nil {
+						return
+					}
+				}
+			})
+		}
+	}
+	return []flood{
+		{name: "pings, answers read", attackers: 8, attack: sendEndlessly(repeated(encodeCommand("PING"), 1000), true)},
+		{name: "pings, answers not read", attackers: floodRoom, attack: sendEndlessly(repeated(encodeCommand("PING"), 1000), false)},
+		{name: "unknown commands, answers not read", attackers: 8, attack: sendEndlessly(repeated(encodeCommand("NONSENSE"), 1000), false)},
+		{name: "unknown commands from a crowd", attackers: floodCrowd, attack: sendEndlessly(repeated(encodeCommand("NONSENSE"), 1000), false)},
+		{name: "requests, answers read", attackers: floodRoom, attack: sendEndlessly(manyRequests, true)},
+		{name: "requests, answers not read", attackers: floodRoom, attack: sendEndlessly(manyRequests, false)},
+		{name: "large commands, servers silent", attackers: floodRoom, attack: sendEndlessly(largeRequest, true),
+			setUp: spoiltServers(func(net.Conn, []string) {})},
+		{name: "large values, answers not read", attackers: floodRoom, attack: sendEndlessly(manyRequests, false),
+			setUp: func(t *testing.T, f *fixture, _ string) { f.servers = goodServers(t, 6, replyValue(largeBody)) }},
+		{name: "parts of large commands", attackers: floodRoom, attack: func(ctx context.Context, e *floodEnvironment, conn net.Conn) {
+			_ = writeAll(conn, largeRequest(e)[:60<<10])
+			_ = conn.SetReadDeadline(time.Now().Add(floodDuration))
+			_, _ = io.Copy(io.Discard, conn)
+		}},
+		{name: "clients that come and go", attackers: floodCrowd, attack: func(_ context.Context, e *floodEnvironment, conn net.Conn) {
+			_ = writeAll(conn, manyRequests(e)+largeRequest(e)[:30<<10])
+		}},
+		{name: "servers that answer and send on", attackers: floodRoom, attack: sendEndlessly(func(e *floodEnvironment) string {
+			time.Sleep(20 * time.Millisecond)
+			return e.request("")
+		}, true), setUp: spoiltServers(func(conn net.Conn, args []string) {
+			replyValue("v")(conn, args)
+			pour(conn, largeBody, endlessBytes)
+		})},
+		{name: "servers that send an endless line", attackers: floodRoom, attack: sendEndlessly(func(e *floodEnvironment) string {
+			time.Sleep(20 * time.Millisecond)
+			return e.request("")
+		}, true), setUp: spoiltServers(func(conn net.Conn, _ []string) {
+			_, _ = io.WriteString(conn, "-")
+			pour(conn, largeBody, endlessBytes)
+		})},
+		{name: "servers that begin large values", attackers: floodRoom, attack: sendEndlessly(func(e *floodEnvironment) string {
+			time.Sleep(20 * time.Millisecond)
+			return e.request("")
+		}, true), setUp: spoiltServers(func(conn net.Conn, _ []string) {
+			_, _ = io.WriteString(conn, "*3\r\n$65000\r\n"+largeBody)
+		})},
+		{name: "a counter that answers endlessly", setUp: func(t *testing.T, f *fixture, _ string) {
+			f.counter = &quotaCounter{addr: serveConns(t, func(conn net.Conn) { pour(conn, strings.Repeat("ok 1\r\n", 10000), endlessBytes) })}
+		}},
+		{name: "a counter that sends an endless line", setUp: func(t *testing.T, f *fixture, _ string) {
+			f.counter = &quotaCounter{addr: serveConns(t, func(conn net.Conn) { pour(conn, "ok "+strings.Repeat("1", 60000), endlessBytes) })}
+		}},
+		{name: "a list that never ends", setUp: endlessLists(func(n int) string {
+			return fmt.Sprintf(`{"id":"s-%d","addr":"127.0.0.1:1","zone":"hall-a","kind":"m2","cell":3,"state":"ready","weight":1.0,"started_ms":0},`, n)
+		}, `{"version":9,"full":true,"servers":[`)},
+		{name: "an endless value in a list", setUp: endlessLists(func(int) string { return largeBody }, `{"version":9,"full":true,"servers":[{"id":"`)},
+		{name: "changes that name new servers", setUp: endlessLists(func(n int) string {
+			var list strings.Builder
+			for k := range 100 {
+				state := []string{"ready", "gone"}[k%2]
+				fmt.Fprintf(&list, `,{"id":"s-%d-%d","addr":"127.0.0.1:1","zone":"hall-b","kind":"m2","cell":3,"state":"%s","weight":1.0,"started_ms":0}`, n, k/2, state)
+			}
+			return fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`+"\n", 10+n, list.String()[1:])
+		}, "\n")},
+		{name: "gRPC calls that never end", attackers: 120, attack: sendGRPCFlood(checkPath, 900<<10, 60<<10), setUp: withRateLimitFront,
+			network: func(e *floodEnvironment) (string, string) { return "tcp", e.limiter.grpcAddr }},
+		{name: "gRPC calls without a message", attackers: 120, attack: sendGRPCFlood(checkPath, 0, 0), setUp: withRateLimitFront,
+			network: func(e *floodEnvironment) (string, string) { return "tcp", e.limiter.grpcAddr }},
+		{name: "calls of the admin service that never end", attackers: 16, attack: sendGRPCFlood(applyPath, 15<<20, 60<<10), setUp: withAdminService,
+			network: func(e *floodEnvironment) (string, string) { return "unix", e.socket }},
+	}
+}
+
+func withRateLimitFront(t *testing.T, f *fixture, dir string) {
+	f.rateLimitFile = writeJSON(t, filepath.Join(dir, "ratelimit.json"), object{"listen": reservedAddress(t)})
+}
+
+func withAdminService(t *testing.T, f *fixture, dir string) {
+	f.operatorFile = filepath.Join(dir, "operator.star")
+	require.NoError(t, os.WriteFile(f.operatorFile, fmt.Appendf(nil, "admin(socket = %q)\n", adminSocketPath(dir)), 0o600))
+}
+
+func adminSocketPath(dir string) string { return filepath.Join(dir, "admin.sock") }
+
+// politeClient sends one request after the other and reads each answer.
+type politeClient struct{ sent, answered, served int }
+
+func (p *politeClient) run(ctx context.Context, e *floodEnvironment, body string) {
+	var in []byte
+	var conn net.Conn
+	for ctx.Err() == nil {
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", e.limiter.addr); err != nil {
+				continue
+			}
+		}
+		time.Sleep(politeInterval)
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
+		p.sent++
+		if _, err := io.WriteString(conn, e.request(body)); err == nil {
+			line := readLine(conn, &in)
+			if line != "" {
+				p.answered++
+			}
+			if strings.HasPrefix(line, "$") {
+				p.served++
+			}
+			if line != "" {
+				continue
+			}
+		}
+		_ = conn.Close() // it crossed a close, or the connection was turned away unread: it comes again
+		conn = nil
+	}
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// readLine reads one answer, the value of a bulk string included, and returns its first line; "" where the connection has ended.
+func readLine(conn net.Conn, buf *[]byte) string {
+	*buf = (*buf)[:0]
+	for one := make([]byte, 64<<10); ; {
+		n, err := conn.Read(one)
+		if err != nil {
+			return ""
+		}
+		*buf = append(*buf, one[:n]...)
+		line, rest, ok := bytes.Cut(*buf, []byte("\r\n"))
+		if !ok {
+			continue
+		}
+		var size int
+		if line[0] == '$' {
+			_, _ = fmt.Sscan(string(line[1:]), &size)
+			size += 2
+		}
+		if len(rest) >= size {
+			return string(line)
+		}
+	}
+}
+
+// floodRun is one flood at one memory limit on a full core or a tenth of one.
+type floodRun struct {
+	flood
+	memoryMB int
+	starved  bool
+}
+
+func (r floodRun) String() string {
+	return fmt.Sprintf("%s, %d MB, %s", r.name, r.memoryMB, map[bool]string{false: "a full core", true: "a tenth of a core"}[r.starved])
+}
+
+func (r floodRun) play(t *testing.T, seed uint64) {
+	dir := t.TempDir()
+	f := fixture{memoryMB: r.memoryMB, maxDescriptors: floodSockets, servers: goodServers(t, 3, replyValue("v"))}
+	f.settings = settings()
+	f.settings["tariffs"] = []object{plan("regular", 1e5, 1e5, 0)}
+	if r.setUp != nil {
+		r.setUp(t, &f, dir)
+	}
+	e := &floodEnvironment{limiter: start(t, f), socket: adminSocketPath(dir)}
+	l := e.limiter
+	atRest := l.memoryMB("VmRSS")
+	ctx, cancel := context.WithTimeout(t.Context(), floodDuration)
+	defer cancel()
+	var peers sync.WaitGroup
+	var small, large politeClient
+	peers.Go(func() { small.run(ctx, e, "") })
+	peers.Go(func() { large.run(ctx, e, strings.Repeat("b", politeBodyBytes)) })
+	for range r.attackers {
+		peers.Go(func() { r.attackUntil(ctx, e) })
+	}
+	if r.starved {
+		rng := rand.New(rand.NewPCG(seed, 102))
+		l.runIntermittently(rng, floodDuration, func() {})
+	}
+	peers.Wait()
+	highest, floor := l.memoryMB("VmHWM"), 0
+	recovered := assert.Eventually(t, func() bool {
+		floor = l.memoryMB("VmRSS")
+		return float64(floor) <= recoveredShare*float64(r.memoryMB)
+	}, recoveryTimeout, 100*time.Millisecond, "the resident set does not come down")
+	t.Logf("%v: %d MB at rest, %d at the highest, %d after; small requests %+v, large ones %+v", r, atRest, highest, floor, small, large)
+	assert.Less(t, float64(highest), floodHighWater*float64(r.memoryMB), "the whole resident set passes the limit")
+	for name, p := range map[string]politeClient{"small": small, "large": large} {
+		assert.Positive(t, p.sent, name)
+		if r.attackers < floodCrowd { // in a crowd without room, a connection may be closed unread
+			assert.GreaterOrEqual(t, 2*p.served, p.sent, "fewer than half of the %s requests of a client that behaves were served", name)
+		}
+	}
+	if !recovered {
+		t.Log(l.log.String())
+	}
+}
+
+// attackUntil plays connections one after the other until ctx ends.
+func (r floodRun) attackUntil(ctx context.Context, e *floodEnvironment) {
+	network, addr := "tcp", e.limiter.addr
+	if r.network != nil {
+		network, addr = r.network(e)
+	}
+	for ctx.Err() == nil {
+		conn, err := net.Dial(network, addr)
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		over := context.AfterFunc(ctx, func() { _ = conn.Close() })
+		r.attack(ctx, e, conn)
+		over()
+		_ = conn.Close()
+	}
+}
+
+// drawFloods returns what a seed plays: each flood once, or at every limit and share of a core.
+func drawFloods(seed uint64, all bool) (runs []floodRun) {
+	rng := rand.New(rand.NewPCG(seed, 103))
+	for _, f := range floods() {
+		if !all {
+			runs = append(runs, floodRun{f, floodMemoryLimits[rng.IntN(len(floodMemoryLimits))], rng.IntN(2) == 0})
+			continue
+		}
+		for _, mb := range floodMemoryLimits {
+			runs = append(runs, floodRun{f, mb, false}, floodRun{f, mb, true})
+		}
+	}
+	return runs
+}
+
+// A limiter passed its memory limit: 449 MB of 192, from eight clients that sent commands and did not read the answers.
+func TestFloodsStayUnderMemoryLimit(t *testing.T) {
+	seed := envUint("BRAMBLEFALL_SEED", firstFloodSeed)
+	all := cmp.Or(os.Getenv("BRAMBLEFALL_FLOODS"), "drawn") == "all"
+	slots := make(chan struct{}, concurrentFloods)
+	t.Run("floods", func(t *testing.T) {
+		for _, r := range drawFloods(seed, all) {
+			t.Run(r.String(), func(t *testing.T) {
+				t.Parallel()
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				r.play(t, seed)
+			})
+		}
+	})
+}
