--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -202,6 +202,24 @@
 	return r
 }
 
+// LimitCustomers bounds the bytes of the module's records of customers; 0 stands for no bound.
+func (r *Reducer) LimitCustomers(bytes int64) { r.gateway.LimitCustomers(bytes) }
+
+// IsPending reports whether a timer may still have an effect when it fires.
+func (r *Reducer) IsPending(t Timer) bool {
+	switch t.kind {
+	case moduleTimer:
+		return r.gateway.IsPending(uint32(t.key.ID))
+	case tryTimer:
+		q := r.requests[t.key.ID]
+		return q != nil && q.tries[t.key.Try].inFlight
+	case countTimer:
+		_, inFlight := r.partsInFlight[t.key.ID]
+		return inFlight
+	}
+	return true
+}
+
 // OpenCount returns the number of request contexts that wait for their final answer or for the outcome of a try.
 func (r *Reducer) OpenCount() int { return len(r.requests) }
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,7 @@
 
 	lastID       atomic.Uint64
 	openRequests atomic.Int64
+	unhandled    atomic.Int64 // events that were posted and not handled yet
 	wake         chan struct{}
 
 	mu    sync.Mutex
@@ -53,6 +55,7 @@
 
 	wallClockAhead time.Duration // how far the wall clock is ahead of Now, as last reported to the reducer
 	timers         timers
+	timersKept     int // timers that were left when pointless ones were last dropped
 	effects        []core.Effect
 	stalls         stallLog
 	traceTries     bool // whether to log tries and outcomes at debug level; off in service
@@ -81,6 +84,9 @@
 // Open returns the number of open request contexts as of the last batch.
 func (l *Loop) Open() int { return int(l.openRequests.Load()) }
 
+// Backlog returns the number of events that were posted and not handled yet.
+func (l *Loop) Backlog() int { return int(l.unhandled.Load()) }
+
 var startTime = time.Now()
 
 // Now returns the time on the limiter's clock: the Unix time at the start of the process, advanced by the monotonic clock, so
@@ -109,6 +115,7 @@
 		q.At = Now()
 		ev = q
 	}
+	l.unhandled.Add(1)
 	l.mu.Lock()
 	l.inbox = append(l.inbox, ev)
 	first := len(l.inbox) == 1
@@ -135,6 +142,7 @@
 		batch, l.inbox = l.inbox, batch[:0]
 		l.mu.Unlock()
 		l.processBatch(batch)
+		l.unhandled.Add(-int64(len(batch)))
 		clear(batch) // the slice is reused and must not keep the events' data reachable
 		wait := time.Hour
 		if len(l.timers) > 0 {
@@ -207,7 +215,7 @@
 func (l *Loop) runEffect(e core.Effect) {
 	switch e := e.(type) {
 	case core.SetTimer:
-		heap.Push(&l.timers, e)
+		l.setTimer(e)
 	case core.Try:
 		if l.traceTries {
 			slog.Debug("try", "context", e.ID, "try", e.Key.Try, "server", e.Server, "wait", e.Timeout)
@@ -242,6 +250,24 @@
 	}
 }
 
+// minPrunedTimers is how many timers there are before those that have become pointless are dropped.
+const minPrunedTimers = 4096
+
+// setTimer adds a timer. A request's timers outlive it, up to its deadline, so where many requests end soon, those without an
+// effect are dropped whenever the number of timers has doubled.
+func (l *Loop) setTimer(t core.SetTimer) {
+	heap.Push(&l.timers, t)
+	if len(l.timers) < max(2*l.timersKept, minPrunedTimers) {
+		return
+	}
+	l.timers = slices.DeleteFunc(l.timers, func(t core.SetTimer) bool { return !l.reducer.IsPending(t.Timer) })
+	if 4*len(l.timers) < cap(l.timers) {
+		l.timers = slices.Clone(l.timers)
+	}
+	heap.Init(&l.timers)
+	l.timersKept = len(l.timers)
+}
+
 // savePlans saves the plan book, then answers the sender of the change. If saving fails the reply says so, but the change
 // stays in force.
 func (l *Loop) savePlans(e core.SavePlans) {
--- a/logic/customers.go
+++ b/logic/customers.go
@@ -230,6 +230,25 @@
 // ScheduleEntry is the place of a customer in the schedule of those that something is due for.
 func (c *customer) ScheduleEntry() *schedule.Entry { return &c.Entry }
 
+// Bytes that the records of customers take, with their places in maps and schedules.
+const (
+	customerBytes        = 1024
+	dormantCustomerBytes = 160
+)
+
+// LimitCustomers bounds the bytes of the records of customers. Requests of customers that are not known are refused where there is
+// no room for a record. 0 stands for no bound.
+func (g *Gateway) LimitCustomers(bytes int64) { g.maxCustomerBytes = bytes }
+
+// hasRoomFor reports whether there is a record of the customer, or room for one.
+func (g *Gateway) hasRoomFor(customer uint64) bool {
+	if g.maxCustomerBytes <= 0 || g.customers[customer] != nil {
+		return true
+	}
+	dormant := int64(len(g.dormant) + len(g.dormantBefore))
+	return int64(len(g.customers))*customerBytes+dormant*dormantCustomerBytes < g.maxCustomerBytes
+}
+
 // addCustomer adds a new record.
 func (g *Gateway) addCustomer(c *customer) {
 	g.customersNumbered++
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,6 +65,11 @@
 		g.do(Refuse{ID: q.ID}) // nothing can be done in time, and a later try would fare no better
 		return
 	}
+	if !g.hasRoomFor(q.Customer) {
+		g.logLimited("customers", "no memory for more records, new ones are refused")
+		g.do(Refuse{ID: q.ID, RetryAfter: g.set.MaxRetryAfter})
+		return
+	}
 	r := &request{Request: q, class: g.set.Classes[q.Class], plan: plan, randomDraw: g.random(),
 		upstream: g.upstreamNumbered(q.Group)}
 	r.TTL = min(r.TTL, time.Hour)
--- a/logic/state.go
+++ b/logic/state.go
@@ -101,10 +101,11 @@
 	*upstream // of group 0
 	upstreams []*upstream
 
-	initialLatency float64    // guess before the first answer
-	queue          []*request // admitted, waiting for a server
-	calls          map[uint64][]call
-	loadEstimates  map[uint64]loadEstimate // of busy customers, also of some not seen here yet
+	initialLatency   float64    // guess before the first answer
+	queue            []*request // admitted, waiting for a server
+	calls            map[uint64][]call
+	maxCustomerBytes int64                   // of the records of customers; 0: no bound
+	loadEstimates    map[uint64]loadEstimate // of busy customers, also of some not seen here yet
 
 	meanRequestUnits float64 // units of a request, smoothed
 
@@ -323,3 +324,6 @@
 	})
 	g.queue = slices.Insert(g.queue, at, r)
 }
+
+// IsPending reports whether a timer with this token may still have an effect when it fires.
+func (g *Gateway) IsPending(token uint32) bool { return token == tickToken || g.tokens[token] != nil }
