--- a/cmd/bramblefall/ratelimit.go
+++ b/cmd/bramblefall/ratelimit.go
@@ -59,8 +59,8 @@
 }
 
 // prepare creates the front and the caller of its upstream group, and returns the caller.
-func (r *rateLimit) prepare(set logic.Settings, eventLoop *loop.Loop, board *plans.TierStore, callers, endpoints int) loop.Caller {
-	r.front = ratelimit.NewFront(set, eventLoop, board, r.Domain, r.Others != nil, callers)
+func (r *rateLimit) prepare(set logic.Settings, eventLoop *loop.Loop, board *plans.TierStore, callers, endpoints int, mem ratelimit.Memory) loop.Caller {
+	r.front = ratelimit.NewFront(set, eventLoop, board, r.Domain, r.Others != nil, callers, mem)
 	r.caller = ratelimit.NewCaller(eventLoop.Post, loop.Now, endpoints)
 	if r.Others != nil {
 		r.group = xds.New(*r.Others, ratelimit.ExternalGroup, set, r.caller, eventLoop.Post)
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -67,9 +67,11 @@
 	if file.Counters != nil {
 		reducer.ShardCounters(loop.Now(), file.CounterAddresses(), false)
 	}
+	reducer.LimitCustomers(limits.Customers)
 	eventLoop := loop.New(reducer)
 	pool := upstream.New(cfg.settings, descriptors/2, upstream.Memory{ServerData: budgets.ServerData, Monitor: monitor}, eventLoop.Post, loop.Now)
 	discoveryClient := discovery.New(cfg.Discovery, cfg.settings, pool, eventLoop.Post)
+	discoveryClient.LimitMemory(limits.List)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	counts := &counterList{Set: counter.New(cfg.Counter, counterConns, eventLoop.Post, loop.Now), platform: cfg.Counter, listed: file.CounterAddresses(),
@@ -77,7 +79,7 @@
 	counts.Monitor = monitor
 	groups := []loop.Caller{pool}
 	if service != nil {
-		groups = append(groups, service.prepare(cfg.settings, eventLoop, board, callers, endpoints))
+		groups = append(groups, service.prepare(cfg.settings, eventLoop, board, callers, endpoints, ratelimit.Memory{Calls: budgets.Calls, Monitor: monitor}))
 	}
 	eventLoop.Connect(groups, counts, board, keeper)
 	eventLoop.Start()
@@ -108,7 +110,7 @@
 		defer service.stop()
 	}
 	if file.Admin != nil {
-		operators := admin.New(eventLoop)
+		operators := admin.New(eventLoop, budgets.Calls, monitor)
 		if err := operators.Listen(file.Admin.Socket); err != nil {
 			return err
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -20,6 +21,8 @@
 	"bramblefall/internal/admin/adminpb"
 	"bramblefall/internal/core"
 	"bramblefall/internal/crash"
+	"bramblefall/internal/grpcserver"
+	"bramblefall/internal/memory"
 	"bramblefall/internal/plans"
 	"bramblefall/internal/socket"
 )
@@ -42,23 +45,21 @@
 	adminpb.UnimplementedAdminServer
 	reducer EventPoster
 	server  *grpc.Server
+	monitor *memory.Monitor
 }
 
-// New returns a service that is not yet listening.
-func New(reducer EventPoster) *Service {
-	s := &Service{reducer: reducer}
-	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxConcurrentStreams(maxConcurrentCalls), grpc.UnaryInterceptor(withCrashGuard))
+// messageShare is the part of the memory for calls that one message may take.
+const messageShare = 0.25
+
+// New returns a service that is not yet listening. Its calls take memory from the budget.
+func New(reducer EventPoster, calls *memory.Budget, monitor *memory.Monitor) *Service {
+	s := &Service{reducer: reducer, monitor: monitor}
+	s.server = grpcserver.New(grpcserver.Limits{Calls: calls, Monitor: monitor, CallBytes: min(maxMessageBytes, int(messageShare*float64(calls.Limit()))),
+		Streams: maxConcurrentCalls})
 	adminpb.RegisterAdminServer(s.server, s)
 	return s
 }
 
-// withCrashGuard applies crash.Guard to handlers, so that a panic in one is logged in a single line with its stack before the
-// process ends. gRPC runs handlers on goroutines of its own, which no other guard covers.
-func withCrashGuard(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
-	defer crash.Guard()
-	return handle(ctx, req)
-}
-
 // Listen opens the Unix socket, with access for its owner only, and serves it until Stop. It replaces a stale socket that no
 // process serves, and returns an error if another process serves the socket or the path is a file of another kind.
 func (s *Service) Listen(path string) error {
@@ -88,7 +89,7 @@
 		return fmt.Errorf("admin socket: %w", err)
 	}
 	crash.Go(func() {
-		_ = s.server.Serve(socket.RetryAccept(l))
+		_ = s.server.Serve(grpcserver.Listen(netutil.LimitListener(socket.RetryAccept(l), Descriptors), s.monitor))
 		_ = os.Remove(path)
 	})
 	return nil
--- /dev/null
+++ b/internal/grpcserver/server.go
@@ -0,0 +1,121 @@
+// Package grpcserver makes the gRPC servers of the program. They read from a caller only while its calls can be held: calls are
+// counted against a memory budget, those whose message does not come are ended, and a caller that does not read its answers is not
+// read from.
+package grpcserver
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
+
+	"bramblefall/internal/crash"
+	"bramblefall/internal/memory"
+)
+
+const (
+	messageTimeout   = 2400 * time.Millisecond // for the whole message of a call
+	handshakeTimeout = 2400 * time.Millisecond
+	bufferBytes      = 4 << 10  // for reading and for writing, of each connection
+	windowBytes      = 64 << 10 // that a caller may send on a stream ahead of its call; the library allows no less
+	maxHeaderBytes   = 8 << 10  // of one call
+)
+
+// Limits bound what a server holds.
+type Limits struct {
+	Calls       *memory.Budget  // of all calls in hand
+	Monitor     *memory.Monitor // may be nil
+	CallBytes   int             // of one message at the most, counted for each call in hand
+	Streams     uint32          // calls at once on one connection
+	StreamCalls []string        // full names of methods whose calls stay open
+}
+
+// New returns a server with these limits. handle runs each unary call.
+func New(l Limits) *grpc.Server {
+	a := &admission{limits: l}
+	return grpc.NewServer(
+		grpc.MaxRecvMsgSize(l.CallBytes),
+		grpc.MaxConcurrentStreams(l.Streams),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
+		grpc.SharedWriteBuffer(true),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.InTapHandle(a.admit),
+		grpc.StatsHandler(connectionTagger{}),
+		grpc.UnaryInterceptor(handleUnary),
+	)
+}
+
+// Listen wraps a listener whose connections a server made by New serves.
+func Listen(l net.Listener, monitor *memory.Monitor) net.Listener { return &gatedListener{l, monitor} }
+
+// admission decides which calls begin.
+type admission struct{ limits Limits }
+
+// callerKey and messageTimerKey are the keys of what a call's context holds.
+type (
+	callerKey       struct{}
+	messageTimerKey struct{}
+)
+
+// caller is what the calls of one connection hold. The library calls admit for one call of a connection at a time.
+type caller struct{ calls *memory.Budget }
+
+// admit lets a call begin if there is memory for it. The context that it returns ends if the call's message does not come in time.
+func (a *admission) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
+	defer crash.Guard()
+	c, _ := ctx.Value(callerKey{}).(*caller)
+	size := int64(a.limits.CallBytes)
+	if c == nil || !a.limits.Calls.Fits(c.calls.Used(), size) {
+		return nil, status.Error(codes.ResourceExhausted, "too many calls are open")
+	}
+	a.limits.Calls.Add(size)
+	c.calls.Add(size)
+	context.AfterFunc(ctx, func() {
+		a.limits.Calls.Add(-size)
+		c.calls.Add(-size)
+	})
+	for _, name := range a.limits.StreamCalls {
+		if name == info.FullMethodName {
+			return ctx, nil
+		}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := crash.AfterFunc(messageTimeout, cancel)
+	return context.WithValue(ctx, messageTimerKey{}, timer), nil
+}
+
+// handleUnary handles a call whose message has come. It reports a panic before the process ends: the library starts the calls'
+// goroutines, so crash.Go does not cover them.
+func handleUnary(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+	defer crash.Guard()
+	if timer, ok := ctx.Value(messageTimerKey{}).(*time.Timer); ok {
+		timer.Stop()
+	}
+	return handle(ctx, req)
+}
+
+// connectionTagger gives each connection's calls their caller.
+type connectionTagger struct{}
+
+// TagConn implements stats.Handler.
+func (connectionTagger) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
+	return context.WithValue(ctx, callerKey{}, &caller{calls: memory.NewBudget("caller", 0)})
+}
+
+// TagRPC implements stats.Handler.
+func (connectionTagger) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (connectionTagger) HandleRPC(context.Context, stats.RPCStats) {}
+
+// HandleConn implements stats.Handler.
+func (connectionTagger) HandleConn(context.Context, stats.ConnStats) {}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -32,8 +32,17 @@
 // Used returns the bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// Fits reports whether a holder that holds own bytes may have n more: at most as many in all as are free.
-func (b *Budget) Fits(own, n int64) bool { return own+n <= b.limit-b.used.Load() }
+// holderShare is the part of what is free that a holder may have in all.
+const holderShare = 0.25
+
+// Fits reports whether a holder that holds own bytes may have n more. One that holds nothing may have all that is free.
+func (b *Budget) Fits(own, n int64) bool {
+	free := b.limit - b.used.Load()
+	if own == 0 {
+		return n <= free
+	}
+	return own+n <= int64(holderShare*float64(free))
+}
 
 // Add counts n bytes as held, or as no longer held if n is negative, whether or not they fit.
 func (b *Budget) Add(n int64) {
--- a/internal/memory/limits.go
+++ b/internal/memory/limits.go
@@ -5,7 +5,7 @@
 const (
 	megabyte = 1 << 20
 
-	defaultLimitMB = 256 // where the platform sets no limit
+	defaultLimitMB = 2048 // where the platform sets no limit
 	minLimitMB     = 32
 
 	// programBytes is the part of the limit for what the Go runtime does not manage: mapped pages of the program's file and
@@ -20,13 +20,13 @@
 
 // Shares of what the limit leaves above restingBytes.
 const (
-	commandShare    = 0.15 // requests in hand
+	commandShare    = 0.20 // requests in hand
 	answerShare     = 0.12 // answers that clients have not read yet
 	inputShare      = 0.08 // incomplete commands
 	serverDataShare = 0.08 // incomplete answers of servers
 	customerShare   = 0.15 // records of customers
 	callShare       = 0.15 // gRPC calls in hand, of all services together
-	listShare       = 0.30 // the list of servers
+	listShare       = 0.50 // the list of servers, beside which the others are seldom full
 )
 
 // Limits says how many bytes each part of the program may hold.
--- a/internal/memory/monitor.go
+++ b/internal/memory/monitor.go
@@ -13,10 +13,11 @@
 
 const (
 	checkInterval     = time.Second
-	reportInterval    = 10 * time.Second       // between two log lines
-	releaseInterval   = 5 * time.Second        // between two returns of unused memory to the system
+	reportInterval    = 10 * time.Second // between two log lines
+	minReleasePause   = 2 * time.Second  // between two returns of unused memory to the system
+	maxReleasePause   = time.Minute
 	reportedShare     = 0.75                   // of the limit, from which on the resident set is logged
-	idleShare         = 0.125                  // of the limit, from which on unused memory is returned
+	releaseShare      = 0.4                    // of the limit, from which on unused memory is returned
 	pressedShare      = 0.75                   // of the Go runtime's part, from which on live objects hold back the readers
 	bytesPerCheck     = 256 << 10              // read from peers between two looks at the live objects
 	collectInterval   = 100 * time.Millisecond // between two collections of garbage while readers are held back
@@ -40,18 +41,19 @@
 	readBytes atomic.Int64 // from peers, since the start
 	pressed   atomic.Bool
 
-	mu          sync.Mutex
-	samples     []metrics.Sample
-	reportedAt  time.Time
-	releasedAt  time.Time
-	collectedAt time.Time
-	highest     int64 // resident set
+	mu           sync.Mutex
+	samples      []metrics.Sample
+	reportedAt   time.Time
+	releasedAt   time.Time
+	collectedAt  time.Time
+	releasePause time.Duration
+	highest      int64 // resident set
 }
 
 // NewMonitor sets the Go runtime's limit and returns a monitor that reports these budgets.
 func NewMonitor(limits Limits, budgets ...*Budget) *Monitor {
 	debug.SetMemoryLimit(limits.Go)
-	m := &Monitor{limits: limits, budgets: budgets}
+	m := &Monitor{limits: limits, budgets: budgets, releasePause: minReleasePause}
 	for _, name := range []string{liveObjectsMetric, heapObjectsMetric, heapUnusedMetric, heapFreeMetric, releasedMetric, goTotalMetric, stacksMetric} {
 		m.samples = append(m.samples, metrics.Sample{Name: name})
 	}
@@ -68,9 +70,12 @@
 	}
 }
 
+// Pressed reports whether readers are held back.
+func (m *Monitor) Pressed() bool { return m != nil && m.pressed.Load() }
+
 // AwaitRelief pauses a reader while live objects fill their part of the limit, so that what was read is handled before more is.
 func (m *Monitor) AwaitRelief() {
-	for k := 0; m != nil && m.pressed.Load() && k < maxPressedPauses; k++ {
+	for k := 0; m.Pressed() && k < maxPressedPauses; k++ {
 		time.Sleep(pressedPause)
 		m.checkPressure()
 	}
@@ -122,20 +127,30 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.highest = max(m.highest, resident.Total)
-	if float64(resident.Total) < reportedShare*float64(m.limits.Process) && now.Sub(m.releasedAt) < releaseInterval {
-		return
-	}
-	values := m.read()
-	if float64(resident.Total) >= reportedShare*float64(m.limits.Process) && now.Sub(m.reportedAt) >= reportInterval {
+	if m.isOver(reportedShare, resident) && now.Sub(m.reportedAt) >= reportInterval {
 		m.reportedAt = now
-		m.report(resident, values)
+		m.report(resident, m.read())
 	}
-	unused := values[heapFreeMetric] + values[heapUnusedMetric]
-	garbage := values[heapObjectsMetric] - min(values[heapObjectsMetric], values[liveObjectsMetric])
-	if float64(unused+garbage) > idleShare*float64(m.limits.Process) && now.Sub(m.releasedAt) >= releaseInterval {
+	if m.isOver(releaseShare, resident) && now.Sub(m.releasedAt) >= m.releasePause {
+		m.release()
 		m.releasedAt = now
-		debug.FreeOSMemory()
-		ReleaseProgramPages()
+	}
+}
+
+// isOver reports whether the resident set has passed a share of the limit.
+func (m *Monitor) isOver(share float64, r Resident) bool {
+	return float64(r.Total) > share*float64(m.limits.Process)
+}
+
+// release returns unused memory to the system. Where that does not help, because the memory is in use, the next time is later.
+func (m *Monitor) release() {
+	debug.FreeOSMemory()
+	ReleaseProgramPages()
+	resident, ok := ReadResident()
+	if ok && m.isOver(releaseShare, resident) {
+		m.releasePause = min(2*m.releasePause, maxReleasePause)
+	} else {
+		m.releasePause = minReleasePause
 	}
 }
 
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -25,6 +25,8 @@
 
 	"bramblefall/internal/core"
 	"bramblefall/internal/crash"
+	"bramblefall/internal/grpcserver"
+	"bramblefall/internal/memory"
 	"bramblefall/internal/plans"
 	"bramblefall/internal/socket"
 	"bramblefall/logic"
@@ -35,9 +37,11 @@
 
 const (
 	maxDescriptors     = 16 // a call; each becomes a request context
-	maxCallBytes       = 1 << 20
+	maxCallBytes       = 64 << 10
+	connectionBytes    = 48 << 10 // that a caller's connection takes
+	minConnections     = 32
 	maxUnits           = 1e6                    // of one request
-	maxConcurrentCalls = 1024                   // concurrent calls on one connection
+	maxConcurrentCalls = 1024                   // on one connection
 	drainGrace         = 450 * time.Millisecond // until callers have noticed a planned restart
 	deadlineMargin     = 25 * time.Millisecond  // the module gives up a request less than this before its deadline
 	overloadRetryAfter = time.Second            // told to callers where too many requests are open
@@ -66,40 +70,44 @@
 	classes        map[string]int
 	board          *plans.TierStore
 	maxConnections int // of callers
+	memory         Memory
 	server         *grpc.Server
 	health         *health.Server // proxies query it before they send calls here
 }
 
+// Memory is what bounds the bytes that the front holds.
+type Memory struct {
+	Calls   *memory.Budget
+	Monitor *memory.Monitor
+}
+
 // NewFront returns a front for the callers of a domain ("": any). With callsOthers, each request context within its quota becomes a
 // call to the group of external services; without, the module's decision is the verdict. The front holds at most
 // maxConnections connections of callers.
-func NewFront(settings logic.Settings, owner Owner, board *plans.TierStore, domain string, callsOthers bool, maxConnections int) *Front {
-	f := &Front{owner: owner, settings: settings, domain: domain, callsOthers: callsOthers, classes: map[string]int{}, board: board, maxConnections: maxConnections}
+func NewFront(settings logic.Settings, owner Owner, board *plans.TierStore, domain string, callsOthers bool, maxConnections int, mem Memory) *Front {
+	maxConnections = min(maxConnections, max(minConnections, int(mem.Calls.Limit()/connectionBytes)))
+	f := &Front{owner: owner, settings: settings, domain: domain, callsOthers: callsOthers, classes: map[string]int{}, board: board,
+		maxConnections: maxConnections, memory: mem}
 	for k, c := range settings.Classes {
 		f.classes[c.Name] = k
 	}
-	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxCallBytes), grpc.MaxConcurrentStreams(maxConcurrentCalls),
-		grpc.UnaryInterceptor(reportPanic))
+	f.server = grpcserver.New(grpcserver.Limits{Calls: mem.Calls, Monitor: mem.Monitor, CallBytes: maxCallBytes, Streams: maxConcurrentCalls,
+		StreamCalls: []string{healthpb.Health_Watch_FullMethodName}})
 	rlsv3.RegisterRateLimitServiceServer(f.server, f)
 	f.health = health.NewServer()
 	healthpb.RegisterHealthServer(f.server, f.health)
 	return f
 }
 
-// reportPanic reports a panic in a call before the process ends: the library starts the calls' goroutines, so crash.Go does not
-// cover them.
-func reportPanic(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
-	defer crash.Guard()
-	return handle(ctx, req)
-}
-
 // Listen opens addr and serves it until Drain. It returns the address it listens on.
 func (f *Front) Listen(addr string) (net.Addr, error) {
 	l, err := socket.RetryListen(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 	if err != nil {
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
-	crash.Go(func() { _ = f.server.Serve(netutil.LimitListener(socket.RetryAccept(l), f.maxConnections)) })
+	crash.Go(func() {
+		_ = f.server.Serve(grpcserver.Listen(netutil.LimitListener(socket.RetryAccept(l), f.maxConnections), f.memory.Monitor))
+	})
 	return l.Addr(), nil
 }
 
--- a/internal/ratelimit/gone_test.go
+++ b/internal/ratelimit/gone_test.go
@@ -16,6 +16,7 @@
 	"bramblefall/internal/core"
 	"bramblefall/internal/loop"
 	"bramblefall/internal/loopback"
+	"bramblefall/internal/memory"
 	"bramblefall/internal/plans"
 	"bramblefall/logic"
 )
@@ -91,7 +92,7 @@
 			board := &plans.TierStore{}
 			board.Store(plans.TierSnapshot{Tiers: map[string]int{"regular": 0}, Plans: set.Plans})
 			owner := &inbox{}
-			front := NewFront(set, owner, board, "", true, 100)
+			front := NewFront(set, owner, board, "", true, 100, Memory{Calls: memory.NewBudgets(memory.Divide(0)).Calls})
 			listen, err := loopback.AnyPort()
 			require.NoError(t, err)
 			at, err := front.Listen(listen)
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -14,6 +14,7 @@
 	"bramblefall/internal/counter"
 	"bramblefall/internal/discovery"
 	"bramblefall/internal/loop"
+	"bramblefall/internal/memory"
 	"bramblefall/internal/plans"
 	"bramblefall/logic"
 )
@@ -216,7 +217,7 @@
 		owner.Start()
 		go owner.Run(h.ctx)
 		path := filepath.Join(a.Dir, fmt.Sprintf("%d.sock", h.adminsStarted))
-		if err := admin.New(owner).Listen(path); err != nil {
+		if err := admin.New(owner, memory.NewBudgets(memory.Divide(0)).Calls, nil).Listen(path); err != nil {
 			return err
 		}
 		*out = append(*out, path)
