--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -72,6 +72,8 @@
 	awaitingInput  bool  // the rest of a command is not read yet, for want of memory
 	lastReadAt     time.Time
 
+	readFull bool // the last piece read was as large as any; used only by the reader
+
 	resume chan struct{} // signalled when answers have been written
 }
 
@@ -87,6 +89,7 @@
 // handleBytes handles bytes that have arrived. It is called with c.mu held, which it releases meanwhile.
 func (c *clientConnection) handleBytes(b []byte) {
 	now := time.Now()
+	c.readFull = len(b) >= min(c.front.readBytes, socket.MaxReadBytes)
 	readingEnded := c.readingEnded
 	c.reading = true
 	c.mu.Unlock()
--- a/internal/platform/gone_test.go
+++ b/internal/platform/gone_test.go
@@ -43,6 +43,8 @@
 func (o *owner) ID() uint64 { return o.ids.Add(1) }
 func (o *owner) Open() int  { return 0 }
 
+func (o *owner) Backlog() int { return 0 }
+
 func (o *owner) Post(ev core.Event) {
 	o.mu.Lock()
 	o.events = append(o.events, ev)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -39,6 +39,7 @@
 type Owner interface {
 	ID() uint64
 	Open() int
+	Backlog() int // events that were posted and not handled yet
 	Post(core.Event)
 }
 
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -8,17 +8,28 @@
 	unreservedBytes   = 4 << 10 // of an incomplete command, held without a reservation
 	maxCommandBytes   = 96 << 10
 	inputStallTimeout = 100 * time.Millisecond // without a byte of an incomplete command, while others wait for its memory
+	maxBacklog        = 64                     // events that the reducer has not handled, from which on clients who send much are not read from
+	backlogPause      = time.Millisecond
 	peerCheckInterval = 250 * time.Millisecond // between two looks at whether a client that is not read from has gone
 )
 
 // awaitRoom blocks the reader until what it reads next can be held: until the client has read most of its answers, and until there
 // is memory for the command that has begun. It returns how many bytes may be read at once.
 func (c *clientConnection) awaitRoom() int {
+	c.awaitBacklog()
 	c.awaitAnswersRead()
 	c.awaitInputMemory()
 	return c.front.readBytes
 }
 
+// awaitBacklog blocks the reader of a client that sends much while the reducer has not handled what was read before, from this
+// client and others. The requests of clients that send little do not wait behind such ones.
+func (c *clientConnection) awaitBacklog() {
+	for c.readFull && c.front.owner.Backlog() > maxBacklog && c.conn.Active() {
+		time.Sleep(backlogPause)
+	}
+}
+
 // awaitAnswersRead blocks while many answers wait for the client to read them.
 func (c *clientConnection) awaitAnswersRead() {
 	if !c.hasUnreadAnswers() {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -23,18 +23,18 @@
 	"bramblefall/internal/memory"
 )
 
-// maxReadBytes is how many bytes a reader takes from the kernel at once, and at the most.
-const maxReadBytes = 16 << 10
+// MaxReadBytes is how many bytes a reader takes from the kernel at once, and at the most.
+const MaxReadBytes = 16 << 10
 
 // readBuffers are shared by all readers: a connection at rest holds none.
-var readBuffers = sync.Pool{New: func() any { b := make([]byte, maxReadBytes); return &b }}
+var readBuffers = sync.Pool{New: func() any { b := make([]byte, MaxReadBytes); return &b }}
 
 // Reader is what the owner of a connection does with the bytes that arrive.
 type Reader struct {
 	// Lock is held from before bytes are taken from the kernel until Handle returns, unless Handle releases it meanwhile.
 	Lock sync.Locker
 	// Await, if not nil, is called without Lock before bytes are taken. It blocks until they can be handled and returns how many
-	// at the most; 0 stands for maxReadBytes. It must return once Conn.Done is closed.
+	// at the most; 0 stands for MaxReadBytes. It must return once Conn.Done is closed.
 	Await func() int
 	// Stopped, if not nil, is called with Lock before bytes are taken. Once it returns true, none are taken any more.
 	Stopped func() bool
@@ -89,15 +89,15 @@
 
 // read takes bytes from the kernel and hands them on until the connection ends.
 func (c *Conn) read(r Reader) {
-	for {
+	for n, most := 0, MaxReadBytes; ; {
 		r.Monitor.AwaitRelief()
-		most := maxReadBytes
+		full := n == most
 		if r.Await != nil {
 			if n := r.Await(); n > 0 {
-				most = min(n, maxReadBytes)
+				most = min(n, MaxReadBytes)
 			}
 		}
-		if !c.readOnce(r, most) {
+		if n = c.readOnce(r, most, full); n == 0 {
 			break
 		}
 	}
@@ -108,8 +108,14 @@
 	}
 }
 
-// readOnce waits for bytes and hands on one piece of them. It reports whether the connection goes on.
-func (c *Conn) readOnce(r Reader, most int) bool {
+// readOnce waits for bytes, hands on one piece of them and returns its length; 0 if the connection has ended. bulk tells that the
+// piece before was full.
+func (c *Conn) readOnce(r Reader, most int, bulk bool) int {
+	var t turn
+	if bulk {
+		t.acquire()
+	}
+	defer t.release()
 	var buf *[]byte
 	var n int
 	var stopped bool
@@ -127,14 +133,16 @@
 		}
 		r.Lock.Unlock()
 		readBuffers.Put(buf)
+		t.release()
 		return false
 	})
 	if closed != nil {
-		return false
+		return 0
 	}
 	if stopped {
+		t.release()
 		<-c.done
-		return false
+		return 0
 	}
 	if n > 0 {
 		r.Handle((*buf)[:n])
@@ -142,7 +150,7 @@
 	r.Lock.Unlock()
 	readBuffers.Put(buf)
 	r.Monitor.NoteRead(n)
-	return n > 0
+	return n
 }
 
 // readNow reads what the kernel has, without waiting.
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -117,5 +117,5 @@
 	require.NoError(t, <-written)
 	<-ended
 	require.Equal(t, sent, taken)
-	require.LessOrEqual(t, most, maxReadBytes)
+	require.LessOrEqual(t, most, MaxReadBytes)
 }
--- a/internal/standin/limiter.go
+++ b/internal/standin/limiter.go
@@ -106,6 +106,18 @@
 	return ""
 }
 
+// PeakMemoryKB returns the largest resident set that the process has had, in KB; 0 once it has ended.
+func (l *Limiter) PeakMemoryKB() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", l.Cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, text, _ := strings.Cut(string(raw), "VmHWM:")
+	text, _, _ = strings.Cut(text, "kB")
+	kb, _ := strconv.Atoi(strings.TrimSpace(text))
+	return kb
+}
+
 // OpenFiles returns the number of file descriptors that the process has open.
 func (l *Limiter) OpenFiles() (int, error) {
 	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", l.Cmd.Process.Pid))
