--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -89,14 +89,18 @@
 // handleBytes handles bytes that have arrived. It is called with c.mu held, which it releases meanwhile.
 func (c *clientConnection) handleBytes(b []byte) {
 	now := time.Now()
-	c.readFull = len(b) >= min(c.front.readBytes, socket.MaxReadBytes)
+	arrived := now
+	if c.readFull { // more lay in the kernel by then
+		arrived = c.lastReadAt
+	}
+	c.readFull = len(b) >= min(c.front.readBytes, socket.ShortReadBytes)
 	readingEnded := c.readingEnded
 	c.reading = true
 	c.mu.Unlock()
 	handled := 0
 	if !readingEnded { // what comes later is discarded, so that the close does not reset the connection
 		c.parser.Feed(b)
-		handled = c.handleCommands(now)
+		handled = c.handleCommands(arrived)
 	}
 	c.mu.Lock()
 	c.reading, c.lastReadAt = false, now
@@ -115,7 +119,8 @@
 	c.mu.Lock()
 }
 
-// handleCommands handles the complete commands that have been read and returns their number.
+// handleCommands handles the complete commands that have been read and returns their number. The last of their bytes had arrived
+// by the given time.
 func (c *clientConnection) handleCommands(now time.Time) (handled int) {
 	for ending := false; !ending; handled++ {
 		if c.pendingFull() {
@@ -350,7 +355,9 @@
 // more. Guards the descriptors; such a client must be disconnected in time.
 func (c *clientConnection) enforceTimeouts(now time.Time) {
 	c.mu.Lock()
-	commandTimedOut, closingTimedOut := c.partial && !c.awaitingInput && !c.readingEnded && now.Sub(c.partialSince) >= commandTimeout, c.readingEnded && now.Sub(c.readingEndedAt) >= closingTimeout
+	awaitsClient := c.partial && !c.awaitingInput && !c.reading && !c.readingEnded
+	commandTimedOut := awaitsClient && now.Sub(c.partialSince) >= commandTimeout && c.conn.Drained()
+	closingTimedOut := c.readingEnded && now.Sub(c.readingEndedAt) >= closingTimeout
 	c.mu.Unlock()
 	switch i := c.idle(); {
 	case closingTimedOut:
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -114,7 +114,7 @@
 	var since time.Time
 	for _, c := range f.clientList() {
 		c.mu.Lock()
-		stalled := c.inputBytes > 0 && !c.readingEnded && time.Since(c.lastReadAt) > inputStallTimeout && c.conn.Drained()
+		stalled := c.inputBytes > 0 && !c.reading && !c.readingEnded && time.Since(c.lastReadAt) > inputStallTimeout && c.conn.Drained()
 		if stalled && (longest == nil || c.lastReadAt.Before(since)) {
 			longest, since = c, c.lastReadAt
 		}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -23,8 +23,11 @@
 	"bramblefall/internal/memory"
 )
 
+// ShortReadBytes is how many bytes a reader takes that has no turn among those of peers that send much.
+const ShortReadBytes = 1 << 10
+
 // MaxReadBytes is how many bytes a reader takes from the kernel at once, and at the most.
-const MaxReadBytes = 16 << 10
+const MaxReadBytes = 4 << 10
 
 // readBuffers are shared by all readers: a connection at rest holds none.
 var readBuffers = sync.Pool{New: func() any { b := make([]byte, MaxReadBytes); return &b }}
@@ -89,17 +92,22 @@
 
 // read takes bytes from the kernel and hands them on until the connection ends.
 func (c *Conn) read(r Reader) {
-	for n, most := 0, MaxReadBytes; ; {
+	for bulk := false; ; {
 		r.Monitor.AwaitRelief()
-		full := n == most
+		most := MaxReadBytes
 		if r.Await != nil {
 			if n := r.Await(); n > 0 {
 				most = min(n, MaxReadBytes)
 			}
 		}
-		if n = c.readOnce(r, most, full); n == 0 {
+		if !bulk {
+			most = min(most, ShortReadBytes)
+		}
+		n := c.readOnce(r, most, bulk)
+		if n == 0 {
 			break
 		}
+		bulk = n == most
 	}
 	c.ended.Store(true)
 	c.Close()
