--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -509,7 +509,7 @@
 			return
 		}
 		c.stallTimer = nil
-		if c.awaiting {
+		if c.awaiting || !c.conn.Drained() { // the rest waits for this side to read it
 			c.lastByteAt = time.Now()
 		}
 		if left := replyStallTimeout - time.Since(c.lastByteAt); left > 0 {
