--- a/cmd/bramblefall/fault_test.go
+++ b/cmd/bramblefall/fault_test.go
@@ -98,7 +98,7 @@
 		return w.Audit.Tally(), crash
 	}
 	if findings, n := w.Audit.Findings(); n > 0 {
-		return w.Audit.Tally(), fmt.Sprintf("%d findings, want none; the first are %q", n, findings)
+		return w.Audit.Tally(), fmt.Sprintf("%d findings, want none; the first are %q; the limiter's log:\n%s", n, findings, l.Log())
 	}
 	tally := w.Audit.Tally()
 	descriptors, err := l.OpenFiles()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -191,6 +191,9 @@
 // ensureRoom reports whether there is room for one more connection, evicting an idle one if necessary. If there
 // is none, the connection is closed before anything is read from it, so that its client knows that nothing was taken.
 func (f *Front) ensureRoom() bool {
+	if f.Clients() >= f.maxClients {
+		f.closeGone()
+	}
 	n := f.Clients() + 1
 	if n <= f.maxClients || n <= f.maxClients+maxClosingConnections && f.evictIdle() {
 		return true
@@ -199,6 +202,24 @@
 	return false
 }
 
+// closeGone closes some connections whose clients have closed them, which their readers have not had the time to find out.
+func (f *Front) closeGone() {
+	closed := 0
+	for _, c := range f.clientList() {
+		if closed == maxClosingConnections {
+			return
+		}
+		if !c.conn.PeerClosed() {
+			continue
+		}
+		closed++
+		c.conn.Close()
+		f.mu.Lock()
+		delete(f.clients, c)
+		f.mu.Unlock()
+	}
+}
+
 // logRejected logs how many connections were rejected since the last such line.
 func (f *Front) logRejected(now time.Time) {
 	if now.Sub(f.rejectedLogged) < rejectedLogInterval {
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -89,7 +89,13 @@
 	if enough {
 		return
 	}
-	granted := c.front.memory.Input.Acquire(need, c.conn.Done(), c.front.evictStalledInput)
+	granted := c.front.memory.Input.Acquire(need, c.conn.Done(), func() {
+		if c.conn.PeerClosed() {
+			c.conn.Close()
+			return
+		}
+		c.front.evictStalledInput()
+	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingInput = false
