--- /dev/null
+++ b/review/rig/peers.go
@@ -0,0 +1,332 @@
+package rig
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bramblefall/internal/loopback"
+	"bramblefall/internal/resp"
+)
+
+// Send is a command as a server got it.
+type Send struct {
+	Server, ID string
+	FirstByte  time.Duration // since the start of the case
+	Whole      time.Duration
+	Terms      string
+	Answer     string
+	Peer       string // address of the limiter's end
+}
+
+// Server is a stand-in for an exchange node.
+type Server struct {
+	ID, Zone, Addr string
+	Work           time.Duration // time from the last byte of a command to its answer
+
+	c        *Case
+	listener net.Listener
+	mu       sync.Mutex
+	sends    []Send
+	conns    map[net.Conn]struct{}
+}
+
+// AddServer starts a server.
+func (c *Case) AddServer(id, zone string, work time.Duration) *Server {
+	l, err := loopback.Listen()
+	c.Check(err)
+	s := &Server{ID: id, Zone: zone, Addr: l.Addr().String(), Work: work, c: c, listener: l, conns: map[net.Conn]struct{}{}}
+	c.Note("server %s of %s listens at %s", id, zone, s.Addr)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns[conn] = struct{}{}
+			s.mu.Unlock()
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+// Sends returns the commands that the server has got so far.
+func (s *Server) Sends() []Send {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Send(nil), s.sends...)
+}
+
+func (s *Server) serve(conn net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+		_ = conn.Close()
+	}()
+	var p resp.Parser
+	var first time.Duration
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := conn.Read(buf)
+		if n > 0 && p.Buffered() == 0 {
+			first = s.c.Since()
+		}
+		p.Feed(buf[:n])
+		for {
+			args, ok, bad := p.Command()
+			if bad != nil {
+				s.c.Note("server %s got bytes that are no command: %v", s.ID, bad)
+				return
+			}
+			if !ok {
+				break
+			}
+			if !s.command(conn, args, first) {
+				return
+			}
+			first = s.c.Since()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) command(conn net.Conn, args [][]byte, first time.Duration) bool {
+	name := string(args[0])
+	if name != "Q.ASK" && name != "Q.DO" {
+		_, err := conn.Write([]byte("+PONG\r\n"))
+		return err == nil
+	}
+	send := Send{Server: s.ID, ID: string(args[2]), FirstByte: first, Whole: s.c.Since(), Terms: string(args[3]), Peer: conn.RemoteAddr().String()}
+	answer := Value(send.ID + "@" + s.ID)
+	send.Answer = strings.TrimSpace(strings.ReplaceAll(answer, "\r\n", " "))
+	s.mu.Lock()
+	s.sends = append(s.sends, send)
+	s.mu.Unlock()
+	s.c.Note("server %s got %s %s %s, answers %q", s.ID, name, send.ID, send.Terms, send.Answer)
+	time.Sleep(s.Work)
+	_, err := conn.Write([]byte(answer))
+	return err == nil
+}
+
+// Value is the answer of a server that serves a request with a text.
+func Value(text string) string {
+	return fmt.Sprintf("*3\r\n$%d\r\n%s\r\n$-1\r\n$-1\r\n", len(text), text)
+}
+
+// Counter is a stand-in for the quota counter.
+type Counter struct {
+	Addr string
+
+	mu     sync.Mutex
+	totals map[string]float64
+	ends   map[string]time.Time
+}
+
+// AddCounter starts a counter.
+func (c *Case) AddCounter() *Counter {
+	l, err := loopback.Listen()
+	c.Check(err)
+	k := &Counter{Addr: l.Addr().String(), totals: map[string]float64{}, ends: map[string]time.Time{}}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go k.serve(conn)
+		}
+	}()
+	return k
+}
+
+func (k *Counter) serve(conn net.Conn) {
+	defer conn.Close()
+	for lines := bufio.NewScanner(conn); lines.Scan(); {
+		if _, err := fmt.Fprintf(conn, "%s\r\n", k.answer(strings.TrimSpace(lines.Text()))); err != nil {
+			return
+		}
+	}
+}
+
+func (k *Counter) answer(line string) string {
+	words := strings.Fields(line)
+	if line == "ping" {
+		return "pong"
+	}
+	if len(words) != 4 || words[0] != "add" {
+		return "error"
+	}
+	amount, err := strconv.ParseFloat(words[2], 64)
+	lives, err2 := strconv.Atoi(words[3])
+	if err != nil || err2 != nil {
+		return "error"
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if now.After(k.ends[words[1]]) {
+		k.totals[words[1]], k.ends[words[1]] = 0, now.Add(time.Duration(min(lives, 60000))*time.Millisecond)
+	}
+	k.totals[words[1]] += amount
+	return fmt.Sprintf("ok %.7g", k.totals[words[1]])
+}
+
+// Agent is a stand-in for the agent of discovery on a limiter's machine.
+type Agent struct {
+	Addr string
+
+	c       *Case
+	mu      sync.Mutex
+	version int
+	entries []Object
+	changed chan struct{}
+	calls   int
+
+	// Delay, if set, is how long the answer to a call begins after it.
+	Delay func(call int) time.Duration
+}
+
+// AddAgent starts an agent that lists the servers as ready.
+func (c *Case) AddAgent(servers ...*Server) *Agent {
+	l, err := loopback.Listen()
+	c.Check(err)
+	a := &Agent{Addr: l.Addr().String(), c: c, version: 41, changed: make(chan struct{})}
+	for _, s := range servers {
+		a.entries = append(a.entries, Entry(s, "ready", 0))
+	}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go a.serve(conn)
+		}
+	}()
+	return a
+}
+
+// Entry is a server's entry in a list.
+func Entry(s *Server, state string, startedMS int64) Object {
+	return Object{"id": s.ID, "addr": s.Addr, "zone": s.Zone, "kind": "std-3core", "cell": 0, "state": state, "weight": 1.0, "started_ms": startedMS}
+}
+
+// Known is the list in the form of the configuration.
+func (a *Agent) Known() Object {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Object{"version": a.version, "full": true, "servers": append([]Object(nil), a.entries...)}
+}
+
+// Set changes the state of a server in the list.
+func (a *Agent) Set(id, state string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version++
+	for k, e := range a.entries {
+		if e["id"] == id {
+			next := Object{}
+			for key, v := range e {
+				next[key] = v
+			}
+			next["state"], next["version"] = state, a.version
+			a.entries[k] = next
+		}
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+	a.c.Note("the agent has version %d: %s is %s", a.version, id, state)
+}
+
+// changes returns the line of what changed after a version.
+func (a *Agent) changes(from int) (line []byte, version int, changed chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	version, changed = a.version, a.changed
+	if from >= version {
+		return nil, version, changed
+	}
+	full := from <= 0
+	list := []Object{}
+	for _, e := range a.entries {
+		at, _ := e["version"].(int)
+		if !full && at <= from || full && e["state"] == "gone" {
+			continue
+		}
+		entry := Object{}
+		for key, v := range e {
+			if key != "version" {
+				entry[key] = v
+			}
+		}
+		list = append(list, entry)
+	}
+	raw, _ := json.Marshal(struct {
+		Version int      `json:"version"`
+		Full    bool     `json:"full"`
+		Servers []Object `json:"servers"`
+	}{version, full, list})
+	return append(raw, '\n'), version, changed
+}
+
+func (a *Agent) serve(conn net.Conn) {
+	defer conn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	a.mu.Lock()
+	call := a.calls
+	a.calls++
+	a.mu.Unlock()
+	from, _ := strconv.Atoi(req.FormValue("from"))
+	a.c.Note("call %d of discovery: %s", call, req.URL)
+	gone := make(chan struct{})
+	go func() {
+		_, _ = conn.Read(make([]byte, 1))
+		close(gone)
+	}()
+	if a.Delay != nil {
+		select {
+		case <-time.After(a.Delay(call)):
+		case <-gone:
+			a.c.Note("call %d of discovery was given up before its answer", call)
+			return
+		}
+	}
+	if _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+		return
+	}
+	for {
+		line, version, changed := a.changes(from)
+		if line != nil {
+			from = version
+		} else {
+			line = []byte("\n")
+		}
+		if len(line) > 1 {
+			a.c.Note("call %d of discovery gets %s", call, strings.TrimSpace(string(line)))
+		}
+		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line); err != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-time.After(2 * time.Second):
+		case <-gone:
+			a.c.Note("the watch of call %d has ended", call)
+			return
+		}
+	}
+}
