--- a/review/rig/http2.go
+++ b/review/rig/http2.go
@@ -14,6 +14,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// callHeaders are the headers of a call of the rate limit service.
+var callHeaders = [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", "/envoy.service.ratelimit.v3.RateLimitService/ShouldRateLimit"},
+	{":authority", "limiter"}, {"content-type", "application/grpc"}, {"te", "trailers"}}
+
 // Proxy is a proxy's HTTP/2 connection to the gRPC front. As HTTP/2 allows, it sends its call right behind the preface of the
 // connection and does not wait for the server's settings.
 type Proxy struct {
@@ -73,8 +77,7 @@
 	p.c.Check(err)
 	var block bytes.Buffer
 	encoder := hpack.NewEncoder(&block)
-	for _, h := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", "/envoy.service.ratelimit.v3.RateLimitService/ShouldRateLimit"},
-		{":authority", "limiter"}, {"content-type", "application/grpc"}, {"te", "trailers"}, {"grpc-timeout", fmt.Sprintf("%dm", deadline.Milliseconds())}} {
+	for _, h := range append(callHeaders[:len(callHeaders):len(callHeaders)], [2]string{"grpc-timeout", fmt.Sprintf("%dm", deadline.Milliseconds())}) {
 		p.c.Check(encoder.WriteField(hpack.HeaderField{Name: h[0], Value: h[1]}))
 	}
 	if err := p.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block.Bytes(), EndHeaders: true}); err != nil {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -262,3 +263,30 @@
 	w.limiter.log = append(w.limiter.log, lines[:len(lines)-1]...)
 	return len(b), nil
 }
+
+// ResidentKB is the resident set of the process and the part of it that no file backs, in KB; 0 once it has ended.
+func (l *Limiter) ResidentKB() (all, anonymous int) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", l.cmd.Process.Pid))
+	if err != nil {
+		return 0, 0
+	}
+	field := func(name string) int {
+		_, text, _ := strings.Cut(string(raw), "\n"+name+":")
+		text, _, _ = strings.Cut(text, "kB")
+		kb, _ := strconv.Atoi(strings.TrimSpace(text))
+		return kb
+	}
+	return field("VmRSS"), field("RssAnon")
+}
+
+// ExactResidentKB is the resident set by the kernel's exact count, in KB; 0 if it does not tell.
+func (l *Limiter) ExactResidentKB() int {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", l.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, text, _ := strings.Cut(string(raw), "\nRss:")
+	text, _, _ = strings.Cut(text, "kB")
+	kb, _ := strconv.Atoi(strings.TrimSpace(text))
+	return kb
+}
