--- a/review/rig/peers.go
+++ b/review/rig/peers.go
@@ -182,28 +182,25 @@
 	return fmt.Sprintf("ok %.7g", k.totals[words[1]])
 }
 
-// Agent is a stand-in for the agent of discovery on a limiter's machine.
+// agentVersion is the version of the list that agents tell.
+const agentVersion = 41
+
+// Agent is a stand-in for the agent of discovery on a limiter's machine. Its list does not change.
 type Agent struct {
 	Addr string
 
 	c       *Case
-	mu      sync.Mutex
-	version int
-	entries []Object
-	changed chan struct{}
-	calls   int
-
-	// Delay, if set, is how long the answer to a call begins after it.
-	Delay func(call int) time.Duration
+	servers []Object
 }
 
 // AddAgent starts an agent that lists the servers as ready.
 func (c *Case) AddAgent(servers ...*Server) *Agent {
 	l, err := loopback.Listen()
 	c.Check(err)
-	a := &Agent{Addr: l.Addr().String(), c: c, version: 41, changed: make(chan struct{})}
+	a := &Agent{Addr: l.Addr().String(), c: c}
 	for _, s := range servers {
-		a.entries = append(a.entries, Entry(s, "ready", 0))
+		a.servers = append(a.servers, Object{"id": s.ID, "addr": s.Addr, "zone": s.Zone, "kind": "std-3core", "cell": 0, "state": "ready",
+			"weight": 1.0, "started_ms": 0})
 	}
 	go func() {
 		for {
@@ -217,67 +214,9 @@
 	return a
 }
 
-// Entry is a server's entry in a list.
-func Entry(s *Server, state string, startedMS int64) Object {
-	return Object{"id": s.ID, "addr": s.Addr, "zone": s.Zone, "kind": "std-3core", "cell": 0, "state": state, "weight": 1.0, "started_ms": startedMS}
-}
-
-// Known is the list in the form of the configuration.
+// Known is the list, also in the form of the configuration.
 func (a *Agent) Known() Object {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return Object{"version": a.version, "full": true, "servers": append([]Object(nil), a.entries...)}
-}
-
-// Set changes the state of a server in the list.
-func (a *Agent) Set(id, state string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.version++
-	for k, e := range a.entries {
-		if e["id"] == id {
-			next := Object{}
-			for key, v := range e {
-				next[key] = v
-			}
-			next["state"], next["version"] = state, a.version
-			a.entries[k] = next
-		}
-	}
-	close(a.changed)
-	a.changed = make(chan struct{})
-	a.c.Note("the agent has version %d: %s is %s", a.version, id, state)
-}
-
-// changes returns the line of what changed after a version.
-func (a *Agent) changes(from int) (line []byte, version int, changed chan struct{}) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	version, changed = a.version, a.changed
-	if from >= version {
-		return nil, version, changed
-	}
-	full := from <= 0
-	list := []Object{}
-	for _, e := range a.entries {
-		at, _ := e["version"].(int)
-		if !full && at <= from || full && e["state"] == "gone" {
-			continue
-		}
-		entry := Object{}
-		for key, v := range e {
-			if key != "version" {
-				entry[key] = v
-			}
-		}
-		list = append(list, entry)
-	}
-	raw, _ := json.Marshal(struct {
-		Version int      `json:"version"`
-		Full    bool     `json:"full"`
-		Servers []Object `json:"servers"`
-	}{version, full, list})
-	return append(raw, '\n'), version, changed
+	return Object{"version": agentVersion, "full": true, "servers": a.servers}
 }
 
 func (a *Agent) serve(conn net.Conn) {
@@ -286,47 +225,20 @@
 	if err != nil {
 		return
 	}
-	a.mu.Lock()
-	call := a.calls
-	a.calls++
-	a.mu.Unlock()
-	from, _ := strconv.Atoi(req.FormValue("from"))
-	a.c.Note("call %d of discovery: %s", call, req.URL)
-	gone := make(chan struct{})
-	go func() {
-		_, _ = conn.Read(make([]byte, 1))
-		close(gone)
-	}()
-	if a.Delay != nil {
-		select {
-		case <-time.After(a.Delay(call)):
-		case <-gone:
-			a.c.Note("call %d of discovery was given up before its answer", call)
-			return
-		}
-	}
+	a.c.Note("a call of discovery: %s", req.URL)
 	if _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
 		return
 	}
+	line := []byte("\n")
+	if from, _ := strconv.Atoi(req.FormValue("from")); from < agentVersion {
+		list, _ := json.Marshal(a.Known())
+		line = append(list, '\n')
+	}
 	for {
-		line, version, changed := a.changes(from)
-		if line != nil {
-			from = version
-		} else {
-			line = []byte("\n")
-		}
-		if len(line) > 1 {
-			a.c.Note("call %d of discovery gets %s", call, strings.TrimSpace(string(line)))
-		}
 		if _, err := fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line); err != nil {
 			return
 		}
-		select {
-		case <-changed:
-		case <-time.After(2 * time.Second):
-		case <-gone:
-			a.c.Note("the watch of call %d has ended", call)
-			return
-		}
+		line = []byte("\n")
+		time.Sleep(2 * time.Second)
 	}
 }
