--- a/review/1/main.go
+++ b/review/1/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -27,9 +28,13 @@
 	deadline    = 6 * time.Second // of transfer-post, from the last byte of the request
 	lateAnswer  = 500 * time.Millisecond
 	socketSlack = 50 * time.Millisecond
-	terms       = "c=transfer-post,t=regular,d=6000,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0"
 )
 
+// terms are the names and values of a transfer, with a key of its own.
+func terms(id string) string {
+	return "c=transfer-post,t=regular,d=6000,k=" + id + ",units=1,spread=1,first=0"
+}
+
 func main() {
 	c := rig.Start()
 	var servers []*rig.Server
@@ -68,7 +73,7 @@
 				}
 				for err == nil && time.Since(began) < soundTime {
 					id := rig.NewID()
-					if err = k.Send("Q.DO", fmt.Sprintf("%016x", 0xb4d65521+n), id, terms, body); err != nil {
+					if err = k.Send("Q.DO", fmt.Sprintf("%016x", 0xb4d65521+n), id, terms(id), body); err != nil {
 						break // not written whole, so not taken
 					}
 					var r resp.Reply
@@ -107,6 +112,9 @@
 	clients.Wait()
 	all, _ := l.ResidentKB()
 	c.Note("%d requests of %d bytes from sound clients, %d answered, %d not; resident set %d KB of %d KB", asked, soundBody, answered, len(breaks), all, memoryMB<<10)
+	if asked == 0 || answered+len(breaks) == 0 {
+		c.Abort(errors.New("no request of a sound client was written whole and kept its connection"))
+	}
 	c.Verdict(breaks)
 }
 
@@ -118,7 +126,8 @@
 		return
 	}
 	defer conn.Close()
-	text := resp.AppendCommand(nil, []byte("Q.DO"), fmt.Appendf(nil, "%016x", 0xa0000000+n), []byte(rig.NewID()), []byte(terms),
+	id := rig.NewID()
+	text := resp.AppendCommand(nil, []byte("Q.DO"), fmt.Appendf(nil, "%016x", 0xa0000000+n), []byte(id), []byte(terms(id)),
 		[]byte(strings.Repeat("p", slowBody)))
 	over := make(chan struct{})
 	go func() {
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -75,6 +75,7 @@
 	k, err := c.Dial(l)
 	c.Check(err)
 	answer, err := k.Ask("Q.ASK", "00000000b4d65521", rig.NewID(), "c=balance-read,t=regular,d=4000,units=1,spread=1,first=0", 5*time.Second)
-	c.Note("meanwhile the RESP2 front answers: %s %v", answer, err)
+	c.Check(err)
+	c.Note("meanwhile the RESP2 front answers: %s", answer)
 	c.Verdict(breaks)
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -36,6 +37,7 @@
 	Dir     string // temporary folder
 
 	began    time.Time
+	ending   sync.Mutex // held by the first that ends the case
 	mu       sync.Mutex
 	record   *os.File
 	limiters []*Limiter
@@ -59,7 +61,10 @@
 	}
 	c := &Case{Trouble: os.Getenv("TROUBLE") != "0", Dir: dir, began: time.Now(), record: record}
 	c.Note("disruption: %v", c.Trouble)
-	time.AfterFunc(115*time.Second, func() { c.Abort(errors.New("the run took too long")) })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { c.Abort(fmt.Errorf("the case was told to end: %v", <-signals)) }()
+	time.AfterFunc(110*time.Second, func() { c.Abort(errors.New("the run took too long")) })
 	return c
 }
 
@@ -86,8 +91,17 @@
 	}
 }
 
-// Verdict ends the case with what was found; none means that the rule held.
+// Verdict ends the case with what was found; none means that the rule held, if all limiters have run to the end.
 func (c *Case) Verdict(breaks []string) {
+	for _, l := range c.limiters {
+		select {
+		case <-l.ended:
+			if len(breaks) == 0 {
+				c.Abort(fmt.Errorf("limiter %s ended by itself", l.Name))
+			}
+		default:
+		}
+	}
 	for _, b := range breaks {
 		c.Note("BROKEN: %s", b)
 	}
@@ -99,6 +113,7 @@
 }
 
 func (c *Case) exit(code int, text string) {
+	c.ending.Lock()
 	for _, l := range c.limiters {
 		l.Kill()
 		for _, line := range l.Log() {
