--- a/review/rig/http2.go
+++ b/review/rig/http2.go
@@ -25,6 +25,7 @@
 	name   string
 	conn   net.Conn
 	framer *http2.Framer
+	stream uint32 // of the last call
 }
 
 // DialProxy connects a proxy to the gRPC front: it sends the preface and its settings.
@@ -69,9 +70,10 @@
 	return nil
 }
 
-// Call writes one call and waits for its end. answered tells whether the front gave any answer (a status, a reset of the stream or
+// Call writes a call, behind the end of the one before, and waits for its end. answered tells whether the front gave any answer (a status, a reset of the stream or
 // the end of the connection) within the time; the text says which.
 func (p *Proxy) Call(firm, tier, class string, deadline, within time.Duration) (answered bool, text string) {
+	p.stream = (p.stream + 1) | 1
 	message, err := proto.Marshal(&rlsv3.RateLimitRequest{Domain: "pallet-exchange", Descriptors: []*entriesv3.RateLimitDescriptor{{
 		Entries: []*entriesv3.RateLimitDescriptor_Entry{{Key: "firm", Value: firm}, {Key: "tier", Value: tier}, {Key: "class", Value: class}}}}})
 	p.c.Check(err)
@@ -80,11 +82,11 @@
 	for _, h := range append(callHeaders[:len(callHeaders):len(callHeaders)], [2]string{"grpc-timeout", fmt.Sprintf("%dm", deadline.Milliseconds())}) {
 		p.c.Check(encoder.WriteField(hpack.HeaderField{Name: h[0], Value: h[1]}))
 	}
-	if err := p.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block.Bytes(), EndHeaders: true}); err != nil {
+	if err := p.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: p.stream, BlockFragment: block.Bytes(), EndHeaders: true}); err != nil {
 		return true, "connection ended: " + err.Error()
 	}
 	data := binary.BigEndian.AppendUint32([]byte{0}, uint32(len(message)))
-	if err := p.framer.WriteData(1, true, append(data, message...)); err != nil {
+	if err := p.framer.WriteData(p.stream, true, append(data, message...)); err != nil {
 		return true, "connection ended: " + err.Error()
 	}
 	began := time.Now()
@@ -109,14 +111,14 @@
 		case *http2.RSTStreamFrame:
 			return true, "stream reset: " + f.ErrCode.String()
 		case *http2.DataFrame:
-			if b := f.Data(); f.StreamID == 1 && len(b) > 5 {
+			if b := f.Data(); f.StreamID == p.stream && len(b) > 5 {
 				var answer rlsv3.RateLimitResponse
 				if proto.Unmarshal(b[5:], &answer) == nil {
 					verdict = "verdict " + answer.GetOverallCode().String()
 				}
 			}
 		case *http2.HeadersFrame:
-			if f.StreamID == 1 && f.StreamEnded() {
+			if f.StreamID == p.stream && f.StreamEnded() {
 				return true, "answered, " + verdict
 			}
 		default:
