Show that clients sending large commands at once leave requests of others unanswered

At 32 MB eleven clients hold all of it, and whoever else sends more than 4 KB waits without a bound.

A dump of the goroutines shows 299 readers in Budget.Acquire.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,4 +1,5 @@
-// Case 1: clients that write slowly hold the memory for incomplete commands, and the requests of others are never answered.
+// Case 1: clients that send hundreds of large commands at once keep the memory for incomplete commands, and the requests of others
+// are never answered.
 package main
 
 import (
@@ -6,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -16,18 +16,20 @@
 )
 
 const (
-	memoryMB    = 32
-	slowClients = 120
-	slowBody    = 60 << 10              // bytes of a slow client's transfer
-	piece       = 150                   // bytes that it writes at once
-	piecePause  = 50 * time.Millisecond // between two pieces: 3 KB a second
-	settled     = 3 * time.Second
-	soundTime   = 8 * time.Second // in which sound clients send
-	soundPause  = 500 * time.Millisecond
-	soundBody   = 8 << 10
-	deadline    = 6 * time.Second // of transfer-post, from the last byte of the request
-	lateAnswer  = 500 * time.Millisecond
-	socketSlack = 50 * time.Millisecond
+	memoryMB     = 32
+	badClients   = 300 // connections, under a third of the descriptors with the sound ones
+	atOnce       = 300 // transfers that a bad client sends at once
+	largeBody    = 60000
+	largePause   = 2 * time.Second // without the disruption, between two transfers of such a client
+	settled      = 2 * time.Second
+	soundTime    = 10 * time.Second // in which sound clients send
+	soundPause   = 500 * time.Millisecond
+	soundBody    = 8 << 10
+	deadline     = 6 * time.Second // of transfer-post, from the last byte of the request
+	lateAnswer   = 500 * time.Millisecond
+	socketSlack  = 50 * time.Millisecond
+	controlPause = 10 * time.Millisecond
+	controlMost  = 250 * time.Millisecond // a stand-in that is asked directly answers sooner, or the machine is too busy for this case
 )
 
 // terms are the names and values of a transfer, with a key of its own.
@@ -35,6 +37,16 @@
 	return "c=transfer-post,t=regular,d=6000,k=" + id + ",units=1,spread=1,first=0"
 }
 
+var largeText = []byte(strings.Repeat("p", largeBody))
+
+// transfer returns a large transfer of a client, in pieces.
+func transfer(n int) [][]byte {
+	id := rig.NewID()
+	text := resp.AppendCommand(nil, []byte("Q.DO"), fmt.Appendf(nil, "%016x", 0xa0000000+n), []byte(id), []byte(terms(id)), nil)
+	head, _ := strings.CutSuffix(string(text), "$0\r\n\r\n")
+	return [][]byte{fmt.Appendf([]byte(head), "$%d\r\n", largeBody), largeText, []byte("\r\n")}
+}
+
 func main() {
 	c := rig.Start()
 	var servers []*rig.Server
@@ -47,15 +59,15 @@
 	l := c.StartLimiter(config)
 	c.AwaitReady(l)
 
-	for n := range slowClients {
+	for n := range badClients {
 		go func() {
 			for {
-				writeLarge(c, l.Addr, n)
+				sendLarge(l.Addr, n, c.Trouble)
 				time.Sleep(10 * time.Millisecond)
 			}
 		}()
 	}
-	c.Note("%d clients send transfers of %d bytes, slowly: %v", slowClients, slowBody, c.Trouble)
+	c.Note("%d clients send transfers of %d bytes, %d at once: %v", badClients, largeBody, atOnce, c.Trouble)
 	time.Sleep(settled)
 
 	var mu sync.Mutex
@@ -109,54 +121,64 @@
 			time.Sleep(soundPause)
 		}
 	})
+	slowest := control(c, servers[0].Addr, began)
 	clients.Wait()
 	all, _ := l.ResidentKB()
-	c.Note("%d requests of %d bytes from sound clients, %d answered, %d not; resident set %d KB of %d KB", asked, soundBody, answered, len(breaks), all, memoryMB<<10)
+	c.Note("%d requests of %d bytes from sound clients, %d answered, %d not; resident set %d KB of %d KB; a stand-in asked directly answered within %v",
+		asked, soundBody, answered, len(breaks), all, memoryMB<<10, slowest.Round(time.Microsecond))
 	if asked == 0 || answered+len(breaks) == 0 {
 		c.Abort(errors.New("no request of a sound client was written whole and kept its connection"))
 	}
+	if slowest > controlMost {
+		c.Abort(fmt.Errorf("a stand-in asked directly took %v: this machine is too busy", slowest))
+	}
 	c.Verdict(breaks)
 }
 
-// writeLarge sends one large transfer over a connection of its own, slowly or (without the disruption) at once, until it is
-// answered or its connection ends.
-func writeLarge(c *rig.Case, addr string, n int) {
+// control asks a server directly while the sound clients send, and returns the longest wait: how late this machine is by itself.
+func control(c *rig.Case, addr string, began time.Time) (slowest time.Duration) {
+	conn, err := net.Dial("tcp", addr)
+	c.Check(err)
+	defer conn.Close()
+	for buf := make([]byte, 64); time.Since(began) < soundTime; time.Sleep(controlPause) {
+		asked := time.Now()
+		_, err := io.WriteString(conn, "*1\r\n$4\r\nPING\r\n")
+		c.Check(err)
+		_, err = conn.Read(buf)
+		c.Check(err)
+		slowest = max(slowest, time.Since(asked))
+	}
+	return slowest
+}
+
+// sendLarge sends large transfers over a connection of its own until it ends, and reads whatever comes: hundreds at once and as
+// many again, or (without the disruption) one, and the next after its answer and a pause.
+func sendLarge(addr string, n int, hundreds bool) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
-	id := rig.NewID()
-	text := resp.AppendCommand(nil, []byte("Q.DO"), fmt.Appendf(nil, "%016x", 0xa0000000+n), []byte(id), []byte(terms(id)),
-		[]byte(strings.Repeat("p", slowBody)))
-	over := make(chan struct{})
-	go func() {
-		defer close(over)
-		_ = conn.SetReadDeadline(time.Now().Add(deadline + 5*time.Second))
-		answer := make([]byte, 64)
-		k, err := conn.Read(answer)
-		c.Note("large transfer of client %d: %.40q %v", n, strings.TrimSpace(string(answer[:k])), err)
-		if err == nil && c.Trouble { // an error line: the connection ends behind it
+	if hundreds {
+		go func() {
 			_, _ = io.Copy(io.Discard, conn)
+			_ = conn.Close()
+		}()
+	}
+	for buf := make([]byte, 4<<10); ; {
+		var text net.Buffers
+		for k := 0; k < atOnce && (hundreds || k == 0); k++ {
+			text = append(text, transfer(n)...)
 		}
-	}()
-	for !c.Trouble && len(text) > 0 {
-		if _, err := conn.Write(text); err != nil && !os.IsTimeout(err) {
+		if _, err := text.WriteTo(conn); err != nil {
 			return
 		}
-		text = nil
-	}
-	for len(text) > 0 {
-		k := min(piece, len(text))
-		if _, err := conn.Write(text[:k]); err != nil {
-			break
+		if hundreds {
+			continue
 		}
-		text = text[k:]
-		select {
-		case <-over:
+		if _, err := conn.Read(buf); err != nil {
 			return
-		case <-time.After(piecePause):
 		}
+		time.Sleep(largePause)
 	}
-	<-over
 }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -293,15 +293,3 @@
 	}
 	return field("VmRSS"), field("RssAnon")
 }
-
-// ExactResidentKB is the resident set by the kernel's exact count, in KB; 0 if it does not tell.
-func (l *Limiter) ExactResidentKB() int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/smaps_rollup", l.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, text, _ := strings.Cut(string(raw), "\nRss:")
-	text, _, _ = strings.Cut(text, "kB")
-	kb, _ := strconv.Atoi(strings.TrimSpace(text))
-	return kb
-}
