--- a/review/3/main.go
+++ b/review/3/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"path/filepath"
 	"sync"
@@ -52,6 +53,7 @@
 	var mu sync.Mutex
 	var breaks []string
 	var wg sync.WaitGroup
+	connected := 0
 	for n := range calls {
 		name := fmt.Sprintf("caller %d", n)
 		p, err := c.DialProxy(name, front)
@@ -59,6 +61,7 @@
 			c.Note("%s cannot connect, nothing of it was taken: %v", name, err)
 			continue
 		}
+		connected++
 		wg.Go(func() {
 			defer p.Close()
 			if ok, text := p.Call("b4d65521", "regular", "balance-read", deadline, deadline+lateAnswer+socketSlack); !ok {
@@ -71,6 +74,9 @@
 		time.Sleep(500 * time.Millisecond)
 	}
 	wg.Wait()
+	if connected == 0 && !c.Trouble {
+		c.Abort(errors.New("no caller could connect"))
+	}
 
 	k, err := c.Dial(l)
 	c.Check(err)
--- a/review/rig/peers.go
+++ b/review/rig/peers.go
@@ -15,6 +15,12 @@
 	"bramblefall/internal/resp"
 )
 
+const (
+	connIdle    = 15 * time.Second // after which servers close an idle connection, as in the settings
+	counterIdle = 10 * time.Second // the same of the counter
+	counterMost = 32               // connections that the counter holds; it resets any more
+)
+
 // Send is a command as a server got it.
 type Send struct {
 	Server, ID string
@@ -76,6 +82,7 @@
 	var first time.Duration
 	buf := make([]byte, 64<<10)
 	for {
+		_ = conn.SetReadDeadline(time.Now().Add(connIdle))
 		n, err := conn.Read(buf)
 		if n > 0 && p.Buffered() == 0 {
 			first = s.c.Since()
@@ -104,7 +111,21 @@
 func (s *Server) command(conn net.Conn, args [][]byte, first time.Duration) bool {
 	name := string(args[0])
 	if name != "Q.ASK" && name != "Q.DO" {
-		_, err := conn.Write([]byte("+PONG\r\n"))
+		answer := "-ERR unknown command\r\n"
+		switch {
+		case name == "PING":
+			answer = "+PONG\r\n"
+		case name == "CLIENT" || name == "SELECT":
+			answer = "+OK\r\n"
+		case name == "INFO" && len(args) == 2 && string(args[1]) == "load":
+			load := "backlog=0,utilization=0.10,outstanding=1"
+			answer = fmt.Sprintf("$%d\r\n%s\r\n", len(load), load)
+		}
+		_, err := conn.Write([]byte(answer))
+		return err == nil
+	}
+	if len(args) < 4 { // a form that no client sends
+		_, err := conn.Write([]byte("-SYNTAX\r\n"))
 		return err == nil
 	}
 	send := Send{Server: s.ID, ID: string(args[2]), FirstByte: first, Whole: s.c.Since(), Terms: string(args[3]), Peer: conn.RemoteAddr().String()}
@@ -129,6 +150,7 @@
 	Addr string
 
 	mu     sync.Mutex
+	open   int // connections
 	totals map[string]float64
 	ends   map[string]time.Time
 }
@@ -152,7 +174,20 @@
 
 func (k *Counter) serve(conn net.Conn) {
 	defer conn.Close()
-	for lines := bufio.NewScanner(conn); lines.Scan(); {
+	k.mu.Lock()
+	k.open++
+	tooMany := k.open > counterMost
+	k.mu.Unlock()
+	defer func() { k.mu.Lock(); k.open--; k.mu.Unlock() }()
+	if tooMany {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	for lines := bufio.NewScanner(conn); ; {
+		_ = conn.SetReadDeadline(time.Now().Add(counterIdle))
+		if !lines.Scan() {
+			return
+		}
 		if _, err := fmt.Fprintf(conn, "%s\r\n", k.answer(strings.TrimSpace(lines.Text()))); err != nil {
 			return
 		}
@@ -226,6 +261,11 @@
 		return
 	}
 	a.c.Note("a call of discovery: %s", req.URL)
+	if req.FormValue("watch") != "1" {
+		list, _ := json.Marshal(a.Known())
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		return
+	}
 	if _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
 		return
 	}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -91,14 +91,13 @@
 	}
 }
 
-// Verdict ends the case with what was found; none means that the rule held, if all limiters have run to the end.
+// Verdict ends the case with what was found; none means that the rule held. If a limiter has not run to the end, the
+// case could not run.
 func (c *Case) Verdict(breaks []string) {
 	for _, l := range c.limiters {
 		select {
 		case <-l.ended:
-			if len(breaks) == 0 {
-				c.Abort(fmt.Errorf("limiter %s ended by itself", l.Name))
-			}
+			c.Abort(fmt.Errorf("limiter %s ended before the case was over", l.Name))
 		default:
 		}
 	}
