--- a/cmd/bramblefall/syscalls_test.go
+++ b/cmd/bramblefall/syscalls_test.go
@@ -41,7 +41,7 @@
 )
 
 // filteredSyscalls are the system calls that the kernel asks about; all others proceed.
-var filteredSyscalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC, unix.SYS_POLL, unix.SYS_READV}
+var filteredSyscalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC, pollSyscall, unix.SYS_READV}
 
 // notification is the kernel's struct seccomp_notif.
 type notification struct {
@@ -263,7 +263,7 @@
 	interrupted := func() syscallErrorFunc {
 		var polls atomic.Int64
 		return func(number int32, _ uint64, _ int) syscall.Errno {
-			if number == unix.SYS_POLL && polls.Add(1)%2 == 1 {
+			if number == pollSyscall && polls.Add(1)%2 == 1 {
 				return syscall.EINTR
 			}
 			return 0
