--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -125,11 +125,12 @@
 }
 
 // take returns the bytes of the message that ends at end and moves the read position behind it. The caller keeps the message while
-// the buffer is reused, so it is a copy, or the buffer itself if nothing else is in it.
+// the buffer is reused, so it is a copy, or, of a large message, the buffer itself: the parser goes on with a copy of what is behind
+// it, which is at most what the last Feed brought.
 func (p *Parser) take(end int) []byte {
-	message := p.buf[p.pos:end]
-	if len(message) > ownedMessageBytes && end == len(p.buf) {
-		p.buf, p.pos = nil, 0
+	message := p.buf[p.pos:end:end]
+	if len(message) > ownedMessageBytes {
+		p.buf, p.pos = bytes.Clone(p.buf[end:]), 0
 		return message
 	}
 	message = bytes.Clone(message)
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -26,6 +26,25 @@
 	assert.True(t, ok && err == nil && string(args[0]) == "PING")
 }
 
+// A client that sends large commands one behind the other kept 60 KB for each connection between two of them, in no budget: the
+// buffer of the command before, with the first bytes of the next in it.
+func TestParserKeepsNoBufferOfLargeCommandBehindIt(t *testing.T) {
+	t.Parallel()
+	const valueBytes = 60000
+	command := AppendCommand(nil, []byte("Q.DO"), bytes.Repeat([]byte("p"), valueBytes))
+	var p Parser
+	for k := range 3 {
+		p.Feed(command[len(p.buf)-p.pos:])
+		p.Feed(command[:100])
+		args, ok, err := p.Command()
+		require.NoError(t, err)
+		require.True(t, ok)
+		assert.Len(t, args[1], valueBytes, "command %d", k)
+		assert.LessOrEqual(t, cap(p.buf), maxIdleBufferBytes, "command %d", k)
+		assert.Equal(t, 100, p.Buffered())
+	}
+}
+
 // Skip consumes exactly the bytes that Command consumes, and fails where it fails, for complete, truncated and corrupted
 // commands.
 func TestSkipConsumesSameBytesAsCommand(t *testing.T) {
