platform: the memory reserved for a large command is given back at its end

Second cause: what a connection had reserved for an incomplete command was given back only if the rest of a piece needs less than 4 KB.

A reservation now ends with its command, and the next one waits for its own, behind those that wait already. TestMemoryForLargeCommandIsReleasedAtItsEnd failed before (no answer to five of five commands of 8 KiB) and passes.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -111,7 +111,7 @@
 	if c.readingEnded {
 		c.parser = resp.Parser{}
 	}
-	if c.parser.Need() <= unreservedBytes {
+	if handled > 0 || c.parser.Need() <= unreservedBytes { // a reservation is for one command: the next one waits for its own
 		c.releaseInput()
 	}
 	c.mu.Unlock()
--- a/internal/platform/gone_test.go
+++ b/internal/platform/gone_test.go
@@ -106,11 +106,15 @@
 // newFixtureWithLimit returns a fixture that holds at most maxClients client connections. Their timeouts are not enforced, since
 // front.Run is not called.
 func newFixtureWithLimit(t *testing.T, maxClients, stuckAt int, answer func(id string) string) *fixture {
+	return newFixtureWithMemory(t, memory.NewBudgets(memory.Divide(0)), maxClients, stuckAt, answer)
+}
+
+// newFixtureWithMemory returns a fixture whose front has the given budgets.
+func newFixtureWithMemory(t *testing.T, budgets memory.Budgets, maxClients, stuckAt int, answer func(id string) string) *fixture {
 	set := logic.Settings{Gateways: 1, Zones: 1, MaxAttempts: 3, ConnectTimeout: 8 * time.Second,
 		Classes: []logic.Class{{Name: "read", Aim: 4 * time.Second, Deadline: 8 * time.Second, Worth: 1}},
 		Plans:   []logic.Plan{{Name: "regular", Rate: 1e5, Burst: 1e5, Price: 1}}}
 	s := &fixture{t: t, owner: &owner{stuckAt: stuckAt, resume: make(chan struct{})}}
-	budgets := memory.NewBudgets(memory.Divide(0))
 	board := &plans.TierStore{}
 	board.Store(plans.TierSnapshot{Tiers: map[string]int{"regular": 0}, Plans: set.Plans})
 	front := platform.New(set, s.owner, board, maxClients, platform.Memory{Commands: budgets.Commands, Answers: budgets.Answers, Input: budgets.Input}, 1)
--- a/internal/platform/room_test.go
+++ b/internal/platform/room_test.go
@@ -4,14 +4,74 @@
 	"bufio"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"bramblefall/internal/memory"
 	"bramblefall/internal/resp"
 )
 
+const (
+	inputBudgetBytes = 64 << 10 // of the fixtures that have room for one large command
+	largeBytes       = 60000
+	soundBytes       = 8 << 10
+
+	// inputAnswerTimeout is within what the shortest deadline of the deployments, 480 ms, and the half second after it leave.
+	inputAnswerTimeout = 900 * time.Millisecond
+)
+
+// newFixtureWithInput returns a fixture with room for one large command that is incomplete, and the budget of such commands.
+func newFixtureWithInput(t *testing.T) (*fixture, *memory.Budget) {
+	budgets := memory.NewBudgets(memory.Divide(0))
+	budgets.Input = memory.NewBudget("input", inputBudgetBytes)
+	return newFixtureWithMemory(t, budgets, 1000, 0, serve), budgets.Input
+}
+
+// ping is a command of about n bytes.
+func ping(n int) string {
+	return string(resp.AppendCommand(nil, []byte("PING"), []byte(strings.Repeat("p", n))))
+}
+
+// answerTo sends text on a connection of its own and returns the first line of the answer; "" if none comes within the timeout.
+func (s *fixture) answerTo(text string, timeout time.Duration) string {
+	conn := s.dial()
+	defer conn.Close()
+	s.write(conn, text)
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
+	line, _ := bufio.NewReader(conn).ReadString('\n')
+	return line
+}
+
+// Clients that sent large commands one behind the other kept the memory for incomplete ones from command to command, so that others'
+// commands were read in part and never answered.
+func TestMemoryForLargeCommandIsReleasedAtItsEnd(t *testing.T) {
+	t.Parallel()
+	s, _ := newFixtureWithInput(t)
+	flooding := s.dial()
+	defer flooding.Close()
+	command := ping(largeBytes)
+	const headBytes = 100 // of the next command, in the same piece as the end of the one before
+	s.write(flooding, command[:headBytes])
+	go func() {
+		for answers := bufio.NewReader(flooding); ; {
+			if _, err := io.WriteString(flooding, command[headBytes:]+command[:headBytes]); err != nil {
+				return
+			}
+			if _, err := answers.ReadString('\n'); err != nil {
+				return
+			}
+		}
+	}()
+	time.Sleep(100 * time.Millisecond) // the flood holds the memory
+	for range 5 {
+		assert.Equal(t, "+PONG\r\n", s.answerTo(ping(soundBytes), inputAnswerTimeout))
+	}
+}
+
 // Clients that stall in the middle of a command must not hold their places against others: one of them is evicted, and those that
 // stay may still send the rest.
 func TestStalledPartialCommandIsEvicted(t *testing.T) {
