platform: a large command that finds no memory in time is refused, not left waiting

Beside it each piece of a command (30 for 60 KB) could wait 100 ms while memory is short, and without a bound for the reducer's backlog.

All waits of one command for the sake of others now have 400 ms together, so that the shortest deadlines (480 ms, and the half second after) leave time for an answer. After that the parser consumes the command as it comes, held nowhere, and it is answered -BUSY in its turn; those behind it are handled. Answers of servers wait in the same way; the try's own time closes that connection, which ends the wait.

TestCommandWithoutMemoryIsRefusedInTime: no answer before, at 5, 8 and 60 KB.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. The deploy build stands in deploy/balancer.toml; `make build` runs the same.
-.PHONY: build test lint run ci faults soak floods states
+.PHONY: build test lint run ci faults soak floods large states
 
 build:
 	mkdir -p bin && CGO_ENABLED=1 CGO_LDFLAGS=-Wl,-Ttext-segment=0x401000 go build -ldflags=-linkmode=external -o bin/ ./cmd/...
@@ -32,6 +32,11 @@
 floods:
 	BRAMBLEFALL_FLOODS=all BRAMBLEFALL_SEED=$(SEED) go test ./cmd/bramblefall -run Floods -count 1 -v -timeout 40m
 
+# The long form of the test of large commands: runs whose memory, clients and sizes are drawn, other ones with SEED=N.
+RUNS ?= 50
+large:
+	BRAMBLEFALL_LARGE=$(RUNS) BRAMBLEFALL_SEED=$(SEED) go test ./cmd/bramblefall -run LargeCommands -count 1 -v -timeout 40m
+
 # The long form of the model of leases: three limiters through two terms.
 states:
 	BRAMBLEFALL_STATES=1 go test ./internal/lease -run StateSpace -count 1 -v
--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -56,7 +56,7 @@
 	c.releaseTurn()
 	c.awaitWritten()
 	for began := time.Now(); c.monitor.Pressed() && time.Since(began) < reliefTimeout; {
-		c.monitor.AwaitRelief()
+		c.monitor.AwaitRelief(memory.MaxReliefPause)
 	}
 	n, err := c.Conn.Read(b)
 	if c.readFull {
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -46,25 +46,42 @@
 
 // Add counts n bytes as held, or as no longer held if n is negative, whether or not they fit.
 func (b *Budget) Add(n int64) {
-	used := b.used.Add(n)
-	for peak := b.peak.Load(); used > peak && !b.peak.CompareAndSwap(peak, used); peak = b.peak.Load() {
-	}
+	b.count(n)
 	if n < 0 {
 		b.grantWaiting()
 	}
 }
 
+// count changes what is held, and notes the most that has been.
+func (b *Budget) count(n int64) {
+	used := b.used.Add(n)
+	for peak := b.peak.Load(); used > peak && !b.peak.CompareAndSwap(peak, used); peak = b.peak.Load() {
+	}
+}
+
 // waitInterval is how often a caller of Acquire that waits is asked to make room.
 const waitInterval = 50 * time.Millisecond
 
 // Acquire waits until n bytes are free, in the order of the calls, and counts them as held. It returns false if done is closed
-// first. makeRoom, if not nil, is called now and then meanwhile. A holder of more than the limit is alone.
-func (b *Budget) Acquire(n int64, done <-chan struct{}, makeRoom func()) bool {
+// or the timeout, where it is not 0, has passed first. makeRoom, if not nil, is called now and then meanwhile. A holder of more than
+// the limit is alone.
+func (b *Budget) Acquire(n int64, timeout time.Duration, done <-chan struct{}, makeRoom func()) bool {
 	w := &waiter{bytes: n, granted: make(chan struct{})}
 	b.mu.Lock()
 	b.waiting = append(b.waiting, w)
 	b.mu.Unlock()
 	b.grantWaiting()
+	select {
+	case <-w.granted:
+		return true
+	default:
+	}
+	var expired <-chan time.Time
+	if timeout > 0 {
+		timer := time.NewTimer(timeout)
+		defer timer.Stop()
+		expired = timer.C
+	}
 	tick := time.NewTicker(waitInterval)
 	defer tick.Stop()
 	for {
@@ -74,6 +91,9 @@
 		case <-done:
 			b.giveUp(w)
 			return false
+		case <-expired:
+			b.giveUp(w)
+			return false
 		case <-tick.C:
 			if makeRoom != nil {
 				makeRoom()
@@ -98,7 +118,7 @@
 		if used > 0 && used+w.bytes > b.limit {
 			return
 		}
-		b.used.Add(w.bytes)
+		b.count(w.bytes)
 		b.waiting = b.waiting[1:]
 		close(w.granted)
 	}
--- a/internal/memory/monitor.go
+++ b/internal/memory/monitor.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
 	"sync"
@@ -16,13 +15,8 @@
 	reportInterval    = 10 * time.Second // between two log lines
 	minReleasePause   = 2 * time.Second  // between two returns of unused memory to the system
 	maxReleasePause   = time.Minute
-	reportedShare     = 0.75                   // of the limit, from which on the resident set is logged
-	releaseShare      = 0.4                    // of the limit, from which on unused memory is returned
-	pressedShare      = 0.75                   // of the Go runtime's part, from which on live objects hold back the readers
-	bytesPerCheck     = 256 << 10              // read from peers between two looks at the live objects
-	collectInterval   = 100 * time.Millisecond // between two collections of garbage while readers are held back
-	pressedPause      = 5 * time.Millisecond
-	maxPressedPauses  = 20
+	reportedShare     = 0.75 // of the limit, from which on the resident set is logged
+	releaseShare      = 0.4  // of the limit, from which on unused memory is returned
 	liveObjectsMetric = "/gc/heap/live:bytes"
 	heapObjectsMetric = "/memory/classes/heap/objects:bytes"
 	heapUnusedMetric  = "/memory/classes/heap/unused:bytes"
@@ -60,41 +54,6 @@
 	return m
 }
 
-// NoteRead counts n bytes read from a peer.
-func (m *Monitor) NoteRead(n int) {
-	if m == nil {
-		return
-	}
-	if all := m.readBytes.Add(int64(n)); all/bytesPerCheck != (all-int64(n))/bytesPerCheck {
-		m.checkPressure()
-	}
-}
-
-// Pressed reports whether readers are held back.
-func (m *Monitor) Pressed() bool { return m != nil && m.pressed.Load() }
-
-// AwaitRelief pauses a reader while live objects fill their part of the limit, so that what was read is handled before more is.
-func (m *Monitor) AwaitRelief() {
-	for k := 0; m.Pressed() && k < maxPressedPauses; k++ {
-		time.Sleep(pressedPause)
-		m.checkPressure()
-	}
-}
-
-// checkPressure updates whether readers are held back. The runtime counts live objects when it collects garbage, which it may not
-// do while nothing is read.
-func (m *Monitor) checkPressure() {
-	if !m.mu.TryLock() {
-		return
-	}
-	defer m.mu.Unlock()
-	if m.pressed.Load() && time.Since(m.collectedAt) >= collectInterval {
-		m.collectedAt = time.Now()
-		runtime.GC()
-	}
-	m.pressed.Store(float64(m.read()[liveObjectsMetric]) >= pressedShare*float64(m.limits.Go))
-}
-
 // read returns the runtime's metrics by name.
 func (m *Monitor) read() map[string]uint64 {
 	metrics.Read(m.samples)
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -72,7 +72,8 @@
 	awaitingInput  bool  // the rest of a command is not read yet, for want of memory
 	lastReadAt     time.Time
 
-	readFull bool // the last piece read was as large as any; used only by the reader
+	readFull   bool          // the last piece read was as large as any; used only by the reader
+	roomWaited time.Duration // by the command that has begun, because of other clients; used only by the reader
 
 	resume chan struct{} // signalled when answers have been written
 }
@@ -102,10 +103,13 @@
 		c.parser.Feed(b)
 		handled = c.handleCommands(arrived)
 	}
+	if handled > 0 {
+		c.roomWaited = 0
+	}
 	c.mu.Lock()
 	c.reading, c.lastReadAt = false, now
 	// Each command has its own timeout: a client may keep sending in pieces that each end in the middle of a command.
-	if partial := c.parser.Buffered() > 0; partial != c.partial || handled > 0 {
+	if partial := c.parser.Incomplete(); partial != c.partial || handled > 0 {
 		c.partial, c.partialSince = partial, now
 	}
 	if c.readingEnded {
@@ -123,7 +127,7 @@
 // by the given time.
 func (c *clientConnection) handleCommands(now time.Time) (handled int) {
 	for ending := false; !ending; handled++ {
-		if c.pendingFull() {
+		if c.parser.Discarding() || c.pendingFull() {
 			if !c.refuseNext() {
 				return handled
 			}
@@ -214,7 +218,7 @@
 	c.front.memory.Commands.Add(n)
 }
 
-// refuseNext refuses the next command without parsing its arguments. It reports whether there was a complete one.
+// refuseNext refuses the next command, or the one that is being discarded, without keeping its arguments. It reports whether there was a complete one.
 func (c *clientConnection) refuseNext() bool {
 	argCount, ok, err := c.parser.Skip()
 	if err != nil {
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bramblefall/internal/memory"
 )
 
 const (
@@ -11,21 +13,44 @@
 	maxBacklog        = 64                     // events that the reducer has not handled, from which on clients who send much are not read from
 	backlogPause      = time.Millisecond
 	peerCheckInterval = 250 * time.Millisecond // between two looks at whether a client that is not read from has gone
+
+	// maxRoomWait bounds how long one command waits in all because of other clients. It leaves the shortest deadlines of requests
+	// time for the answer.
+	maxRoomWait = 400 * time.Millisecond
 )
 
-// awaitRoom blocks the reader until what it reads next can be held: until the client has read most of its answers, and until there
-// is memory for the command that has begun. It returns how many bytes may be read at once.
+// awaitRoom blocks the reader until what it reads next can be held: until the client has read most of its answers, until memory is
+// not short, and until there is memory for the command that has begun. A command that has waited for maxRoomWait is read on without
+// being held, and refused at its end. It returns how many bytes may be read at once.
 func (c *clientConnection) awaitRoom() int {
-	c.awaitBacklog()
 	c.awaitAnswersRead()
+	c.awaitRelief()
+	c.awaitBacklog()
 	c.awaitInputMemory()
 	return c.front.readBytes
 }
 
+// noteWait adds to what the command has waited for room.
+func (c *clientConnection) noteWait(began time.Time) { c.roomWaited += time.Since(began) }
+
+// awaitRelief blocks while memory is short, for a part of maxRoomWait at a time.
+func (c *clientConnection) awaitRelief() {
+	if !c.front.memory.Monitor.Pressed() {
+		return
+	}
+	defer c.noteWait(time.Now())
+	c.front.memory.Monitor.AwaitRelief(min(memory.MaxReliefPause, maxRoomWait-c.roomWaited))
+}
+
 // awaitBacklog blocks the reader of a client that sends much while the reducer has not handled what was read before, from this
 // client and others. The requests of clients that send little do not wait behind such ones.
 func (c *clientConnection) awaitBacklog() {
-	for c.readFull && c.front.owner.Backlog() > maxBacklog && c.conn.Active() {
+	if !c.readFull || c.front.owner.Backlog() <= maxBacklog {
+		return
+	}
+	began := time.Now()
+	defer c.noteWait(began)
+	for c.front.owner.Backlog() > maxBacklog && c.conn.Active() && c.roomWaited+time.Since(began) < maxRoomWait {
 		time.Sleep(backlogPause)
 	}
 }
@@ -75,34 +100,67 @@
 }
 
 // awaitInputMemory blocks until there is memory for the rest of an incomplete command. A command that turns out to be larger than
-// what was reserved for it gets a reservation for the largest one.
+// what was reserved for it gets a reservation for the largest one. The command is discarded where there is none in time, or where
+// memory stays short.
 func (c *clientConnection) awaitInputMemory() {
 	need := int64(c.parser.Need())
+	if need <= unreservedBytes {
+		return
+	}
 	c.mu.Lock()
-	enough := need <= max(unreservedBytes, c.inputBytes) || c.readingEnded
+	if c.readingEnded {
+		c.mu.Unlock()
+		return
+	}
+	enough := need <= c.inputBytes
 	if !enough && c.inputBytes > 0 {
 		c.releaseInput()
 		need = maxCommandBytes
 	}
 	c.awaitingInput = !enough
 	c.mu.Unlock()
-	if enough {
-		return
+	left := maxRoomWait - c.roomWaited
+	switch {
+	case left <= 0 && (!enough || c.front.memory.Monitor.Pressed()):
+		c.discardCommand()
+	case !enough:
+		c.acquireInput(need, left)
 	}
-	granted := c.front.memory.Input.Acquire(need, c.conn.Done(), func() {
+}
+
+// acquireInput reserves memory for the rest of a command, or discards it where there is none in time.
+func (c *clientConnection) acquireInput(need int64, timeout time.Duration) {
+	defer c.noteWait(time.Now())
+	granted := c.front.memory.Input.Acquire(need, timeout, c.conn.Done(), func() {
 		if c.conn.PeerClosed() {
 			c.conn.Close()
 			return
 		}
 		c.front.evictStalledInput()
 	})
+	if !granted {
+		c.discardCommand()
+		return
+	}
+	c.mu.Lock()
+	c.inputBytes = need
+	c.endInputWait()
+	c.mu.Unlock()
+}
+
+// discardCommand drops the incomplete command: it is read on without being held, and refused at its end.
+func (c *clientConnection) discardCommand() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.parser.Discard()
+	c.releaseInput()
+	c.endInputWait()
+}
+
+// endInputWait is called with c.mu held.
+func (c *clientConnection) endInputWait() {
 	c.awaitingInput = false
 	c.partialSince, c.lastReadAt = time.Now(), time.Now() // its client could not send on
-	if granted {
-		c.inputBytes = need
-	}
 }
 
 // releaseInput gives back what is reserved for an incomplete command.
--- a/internal/platform/room_test.go
+++ b/internal/platform/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -102,3 +103,29 @@
 	s.write(newest, ask("half")[30:])
 	s.waitForRequests(1)
 }
+
+// A command that found no memory waited without a bound: its client had neither an answer nor a close. It is refused in time, and the
+// commands behind it are handled.
+func TestCommandWithoutMemoryIsRefusedInTime(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{5 << 10, soundBytes, largeBytes} {
+		t.Run(fmt.Sprintf("%d bytes", n), func(t *testing.T) {
+			t.Parallel()
+			s, input := newFixtureWithInput(t)
+			input.Add(inputBudgetBytes) // others hold all
+			conn := s.dial()
+			defer conn.Close()
+			began := time.Now()
+			s.write(conn, ping(10)+ping(n)+ping(10))
+			_ = conn.SetReadDeadline(began.Add(inputAnswerTimeout))
+			answers := bufio.NewReader(conn)
+			for k, want := range []string{"+PONG\r\n", "-BUSY\r\n", "+PONG\r\n"} {
+				line, err := answers.ReadString('\n')
+				require.NoError(t, err, "answer %d after %v", k, time.Since(began))
+				assert.Equal(t, want, line)
+			}
+			input.Add(-inputBudgetBytes)
+			assert.Equal(t, "+PONG\r\n", s.answerTo(ping(n), inputAnswerTimeout))
+		})
+	}
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -35,9 +35,11 @@
 // Parser decodes messages from a byte stream that arrives in pieces. It buffers bytes until the message that they
 // belong to is complete.
 type Parser struct {
-	buf  []byte
-	pos  int
-	need int // bytes of the incomplete message, as far as its lengths are known
+	buf        []byte
+	pos        int
+	need       int  // bytes of the incomplete message, as far as its lengths are known
+	discarding bool // the incomplete message is consumed without being kept
+	skipped    skippedCommand
 }
 
 // Feed appends a copy of b to the buffer.
@@ -60,6 +62,19 @@
 	return max(p.need, p.Buffered())
 }
 
+// Discard drops the incomplete command: its bytes are no longer kept, and Skip consumes what follows of it as it comes. Command must
+// not be called before Skip has found its end.
+func (p *Parser) Discard() {
+	p.discarding = true
+	_, _, _ = p.Skip() // an error is found again by the next call
+}
+
+// Discarding reports whether an incomplete command is being dropped.
+func (p *Parser) Discarding() bool { return p.discarding }
+
+// Incomplete reports whether a message has begun and not all of it has come.
+func (p *Parser) Incomplete() bool { return p.Buffered() > 0 || p.discarding }
+
 // Buffered returns the number of buffered bytes that no returned message has consumed.
 func (p *Parser) Buffered() int { return len(p.buf) - p.pos }
 
@@ -86,12 +101,22 @@
 // Skip consumes a command without keeping its arguments and returns their number. ok is false when more bytes are needed.
 func (p *Parser) Skip() (argCount int, ok bool, err error) {
 	c := cursor{buf: p.buf, pos: p.pos}
-	argCount, err = c.skip()
+	s := p.skipped
+	err = s.consume(&c)
+	if p.discarding && errors.Is(err, errIncomplete) {
+		p.advance(c.pos)
+		p.need, p.skipped = 0, s
+		if s.bytes+s.valueLeft > maxMessageBytes {
+			return 0, false, ErrProtocol
+		}
+		return 0, false, nil
+	}
 	if ok, err := p.complete(&c, err); !ok {
 		return 0, false, err
 	}
 	p.advance(c.pos)
-	return argCount, true, nil
+	p.discarding, p.skipped = false, skippedCommand{}
+	return max(s.argCount, 0), true, nil
 }
 
 // Reply decodes a server's reply. ok is false when more bytes are needed.
@@ -200,28 +225,76 @@
 	return Reply{}, ErrProtocol
 }
 
-// skip consumes a command, an array of bulk strings, and returns the number of its arguments.
-func (c *cursor) skip() (argCount int, err error) {
+// skippedCommand is how much of a command has been consumed without being kept.
+type skippedCommand struct {
+	begun     bool // the number of its arguments is known
+	argCount  int
+	argsLeft  int
+	valueLeft int // bytes of the argument that has begun, with its CRLF
+	bytes     int // consumed so far
+}
+
+// consume moves the cursor behind what has come of the command.
+func (s *skippedCommand) consume(c *cursor) error {
+	from := c.pos
+	defer func() { s.bytes += c.pos - from }()
+	if !s.begun {
+		if err := s.begin(c); err != nil {
+			return err
+		}
+	}
+	for ; s.argsLeft > 0; s.argsLeft-- {
+		if err := s.argument(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *skippedCommand) begin(c *cursor) error {
 	if c.pos < len(c.buf) && c.buf[c.pos] != '*' {
-		return 0, ErrProtocol
+		return ErrProtocol
 	}
 	line, err := c.line()
 	if err != nil {
-		return 0, err
+		return err
 	}
-	if argCount, err = length(line[1:], maxArgs); err != nil {
-		return 0, ErrProtocol
+	if s.argCount, err = length(line[1:], maxArgs); err != nil {
+		return err
 	}
-	for range argCount {
-		e, err := c.reply(0)
+	s.argsLeft, s.begun = max(s.argCount, 0), true
+	return nil
+}
+
+const crlfBytes = 2
+
+func (s *skippedCommand) argument(c *cursor) error {
+	if s.valueLeft == 0 {
+		line, err := c.line()
 		if err != nil {
-			return 0, err
+			return err
 		}
-		if e.Kind != '$' || e.Null {
-			return 0, ErrProtocol
+		if len(line) == 0 || line[0] != '$' {
+			return ErrProtocol
 		}
+		n, err := length(line[1:], MaxBulkBytes)
+		if err != nil || n < 0 {
+			return ErrProtocol
+		}
+		s.valueLeft = n + crlfBytes
+	}
+	if came := len(c.buf) - c.pos; came < s.valueLeft {
+		c.need = c.pos + s.valueLeft
+		n := min(came, s.valueLeft-crlfBytes)
+		c.pos, s.valueLeft = c.pos+n, s.valueLeft-n
+		return errIncomplete
+	}
+	end := c.pos + s.valueLeft
+	if c.buf[end-2] != '\r' || c.buf[end-1] != '\n' {
+		return ErrProtocol
 	}
-	return max(argCount, 0), nil
+	c.pos, s.valueLeft = end, 0
+	return nil
 }
 
 func (c *cursor) bulk(r Reply) (Reply, error) {
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -79,3 +79,73 @@
 		}
 	}
 }
+
+// A command that is discarded ends where it would have ended, is refused for what Command refuses, and keeps no memory meanwhile,
+// wherever it is cut into pieces and from whichever piece on it is discarded.
+func TestDiscardedCommandEndsWhereItWouldHave(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(1, 2))
+	next := AppendCommand(nil, []byte("PING"))
+	for range 2000 {
+		args := make([][]byte, 1+random.IntN(4))
+		for k := range args {
+			args[k] = bytes.Repeat([]byte("x"), random.IntN(20000))
+		}
+		text := AppendCommand(nil, args...)
+		if random.IntN(3) == 0 {
+			text[random.IntN(len(text))] = "*$0123456789-\r\nx"[random.IntN(16)]
+		}
+		text = append(text, next...)
+		var whole Parser
+		whole.Feed(text)
+		_, wantOK, wantErr := whole.Command()
+		var p Parser
+		var ok bool
+		var err error
+		discardFrom := random.IntN(5)
+		for k, at := 0, 0; at < len(text) && !ok && err == nil; k++ {
+			n := min(1+random.IntN(4000), len(text)-at)
+			p.Feed(text[at : at+n])
+			at += n
+			if k < discardFrom {
+				_, ok, err = p.Command()
+				continue
+			}
+			if !p.Discarding() {
+				p.Discard()
+			}
+			_, ok, err = p.Skip()
+			require.Less(t, p.Buffered(), maxLineBytes+4000)
+			require.LessOrEqual(t, p.Need(), p.Buffered())
+			if ok {
+				p.Feed(text[at:])
+			}
+		}
+		require.Equal(t, wantOK, ok, "%.60q", text)
+		require.Equal(t, wantErr, err, "%.60q", text)
+		if ok && p.Buffered() >= len(next) {
+			require.Equal(t, whole.Buffered(), p.Buffered())
+		}
+	}
+}
+
+// A command that is discarded is bounded in its length like any other.
+func TestDiscardedCommandIsBounded(t *testing.T) {
+	t.Parallel()
+	var p Parser
+	p.Feed([]byte("*60\r\n"))
+	p.Discard()
+	value := AppendBulk(nil, bytes.Repeat([]byte("x"), 10000))
+	fed := 0
+	for range 60 {
+		p.Feed(value)
+		if fed += len(value); fed > maxMessageBytes {
+			break
+		}
+		_, ok, err := p.Skip()
+		require.NoError(t, err)
+		require.False(t, ok)
+	}
+	_, _, err := p.Skip()
+	require.ErrorIs(t, err, ErrProtocol)
+}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -36,8 +36,8 @@
 type Reader struct {
 	// Lock is held from before bytes are taken from the kernel until Handle returns, unless Handle releases it meanwhile.
 	Lock sync.Locker
-	// Await, if not nil, is called without Lock before bytes are taken. It blocks until they can be handled and returns how many
-	// at the most; 0 stands for MaxReadBytes. It must return once Conn.Done is closed.
+	// Await, if not nil, is called without Lock before bytes are taken. It blocks until they can be handled, also while memory is
+	// short, and returns how many at the most; 0 stands for MaxReadBytes. It must return once Conn.Done is closed.
 	Await func() int
 	// Stopped, if not nil, is called with Lock before bytes are taken. Once it returns true, none are taken any more.
 	Stopped func() bool
@@ -45,7 +45,7 @@
 	Handle func([]byte)
 	// Ended is called once, without Lock, when either side has ended the connection, but not after Discard.
 	Ended func()
-	// Monitor, if not nil, counts what is read and holds it back when memory is short.
+	// Monitor, if not nil, counts what is read. Where there is no Await, it holds the reader back while memory is short.
 	Monitor *memory.Monitor
 }
 
@@ -93,13 +93,7 @@
 // read takes bytes from the kernel and hands them on until the connection ends.
 func (c *Conn) read(r Reader) {
 	for bulk := false; ; {
-		r.Monitor.AwaitRelief()
-		most := MaxReadBytes
-		if r.Await != nil {
-			if n := r.Await(); n > 0 {
-				most = min(n, MaxReadBytes)
-			}
-		}
+		most := r.await()
 		if !bulk {
 			most = min(most, ShortReadBytes)
 		}
@@ -116,6 +110,18 @@
 	}
 }
 
+// await blocks until bytes can be handled and returns how many at the most.
+func (r Reader) await() int {
+	if r.Await == nil {
+		r.Monitor.AwaitRelief(memory.MaxReliefPause)
+		return MaxReadBytes
+	}
+	if n := r.Await(); n > 0 {
+		return min(n, MaxReadBytes)
+	}
+	return MaxReadBytes
+}
+
 // readOnce waits for bytes, hands on one piece of them and returns its length; 0 if the connection has ended. bulk tells that the
 // piece before was full.
 func (c *Conn) readOnce(r Reader, most int, bulk bool) int {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -424,8 +424,10 @@
 	}
 }
 
-// awaitMemory blocks the reader until there is memory for the rest of an incomplete answer.
+// awaitMemory blocks the reader until there is memory for the rest of an incomplete answer, or until the connection is closed: the
+// try's own time ends it.
 func (c *connection) awaitMemory() int {
+	c.pool.memory.Monitor.AwaitRelief(memory.MaxReliefPause)
 	need := int64(c.parser.Need())
 	if need <= unreservedBytes {
 		return 0
@@ -442,7 +444,7 @@
 	if enough {
 		return 0
 	}
-	granted := p.memory.ServerData.Acquire(need, c.conn.Done(), nil)
+	granted := p.memory.ServerData.Acquire(need, 0, c.conn.Done(), nil)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c.awaiting, c.lastByteAt = false, time.Now()
