grpcserver: an idle caller makes room for a new one; none is left waiting unaccepted

Cause: the listener stopped accepting at its number of connections (128 of 1,024 descriptors, 32 at 32 MB, 16 for the admin service), while the kernel goes on to accept and to take what callers write. Nothing ended an idle connection.

Every connection is accepted now. Where there is no room the one idle longest goes, first those that brought no call within a second; where calls are in progress on all, the new one is closed unread. A connection is idle if no whole call on it awaits its answer: the headers of the frames both ways are followed, since the library ends a call before its answer is written. Bytes are taken from the kernel under the lock that the close holds, and a GOAWAY names the last call taken. A displaced connection keeps its place until the library has ended it, for which one newcomer waits 100 ms at most.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
@@ -89,7 +88,7 @@
 		return fmt.Errorf("admin socket: %w", err)
 	}
 	crash.Go(func() {
-		_ = s.server.Serve(grpcserver.Listen(netutil.LimitListener(socket.RetryAccept(l), Descriptors), s.monitor))
+		_ = s.server.Serve(grpcserver.Listen(socket.RetryAccept(l), Descriptors, s.monitor))
 		_ = os.Remove(path)
 	})
 	return nil
--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -6,7 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/http2"
+
 	"bramblefall/internal/memory"
+	"bramblefall/internal/socket"
 )
 
 const (
@@ -19,54 +22,91 @@
 // leave the processor to others. A reader does not wait longer than turnTimeout: the holder may be blocked by its own caller.
 var bulkTurn = make(chan struct{}, 1)
 
-// gatedListener accepts connections that are read from only while what they send can be held.
-type gatedListener struct {
-	net.Listener
-	monitor *memory.Monitor
+// gatedConn is a connection whose reader waits while a write to it waits: a caller that does not read its answers is sent more of
+// them with each call. It follows the frames both ways, so that it is known whether an answer is due on it.
+type gatedConn struct {
+	net.Conn
+	descriptor socket.Descriptor
+	listener   *Listener
+
+	readFull     bool // the last read filled its buffer
+	hasTurn      atomic.Bool
+	closed       atomic.Bool
+	served       atomic.Bool // the server has begun to serve calls, and reports the end
+	endOnce      sync.Once
+	callsInHand  *memory.Budget // bytes that the calls of this connection hold
+	openWatchers atomic.Int64   // calls that stay open and owe no answer
+	unaryCalls   atomic.Int64   // calls that are being handled
+
+	mu         sync.Mutex
+	written    *sync.Cond
+	writing    bool
+	evicted    bool // nothing more is read or written
+	received   frameScanner
+	sent       frameScanner
+	streams    openStreams
+	lastUsedAt time.Time // when bytes last came or went
 }
 
-// Accept implements net.Listener.
-func (l *gatedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &gatedConn{Conn: conn, monitor: l.monitor}
+func newGatedConn(conn net.Conn, descriptor socket.Descriptor, l *Listener) *gatedConn {
+	c := &gatedConn{Conn: conn, descriptor: descriptor, listener: l, lastUsedAt: time.Now(), callsInHand: memory.NewBudget("caller", 0)}
+	c.received.prefaceLeft = len(http2.ClientPreface)
 	c.written = sync.NewCond(&c.mu)
-	return c, nil
+	return c
 }
 
-// gatedConn is a connection whose reader waits while a write to it waits: a caller that does not read its answers is sent more of
-// them with each call.
-type gatedConn struct {
-	net.Conn
-	monitor *memory.Monitor
+// callerAddr is the address of a caller. It leads from what the library tells of a connection to the connection.
+type callerAddr struct {
+	net.Addr
+	conn *gatedConn
+}
 
-	readFull bool // the last read filled its buffer
-	hasTurn  atomic.Bool
-	closed   atomic.Bool
+// RemoteAddr implements net.Conn.
+func (c *gatedConn) RemoteAddr() net.Addr { return callerAddr{c.Conn.RemoteAddr(), c} }
 
-	mu      sync.Mutex
-	written *sync.Cond
-	writing bool
+// owesAnswer reports whether a call is in progress that has an answer to come. It is called with c.mu held.
+func (c *gatedConn) owesAnswer() bool {
+	return c.unaryCalls.Load() > 0 || int64(c.streams.wholeCalls()) > c.openWatchers.Load()
 }
 
 // Read implements net.Conn. The library calls it for one read at a time.
 func (c *gatedConn) Read(b []byte) (int, error) {
 	c.releaseTurn()
 	c.awaitWritten()
-	for began := time.Now(); c.monitor.Pressed() && time.Since(began) < reliefTimeout; {
-		c.monitor.AwaitRelief(memory.MaxReliefPause)
+	for began := time.Now(); c.listener.monitor.Pressed() && time.Since(began) < reliefTimeout; {
+		c.listener.monitor.AwaitRelief(memory.MaxReliefPause)
 	}
-	n, err := c.Conn.Read(b)
+	n, err := c.readNext(b)
 	if c.readFull {
 		c.awaitTurn()
 	}
 	c.readFull = n == len(b)
-	c.monitor.NoteRead(n)
+	c.listener.monitor.NoteRead(n)
 	return n, err
 }
 
+// readNext waits for bytes and takes them from the kernel with the lock held: what has been taken is known to closeIfIdle.
+func (c *gatedConn) readNext(b []byte) (int, error) {
+	return c.descriptor.Read(b, func(read func() int) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.evicted {
+			return false
+		}
+		c.noteReceived(b[:read()])
+		return true
+	})
+}
+
+// noteReceived follows what the caller has sent. It is called with c.mu held.
+func (c *gatedConn) noteReceived(b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	c.received.scan(b, c.streams.received)
+	c.lastUsedAt = time.Now()
+}
+
 func (c *gatedConn) awaitTurn() {
 	timeout := time.NewTimer(turnTimeout)
 	defer timeout.Stop()
@@ -86,8 +126,22 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. The server calls it when it ends the connection. Its goroutines end later, if it has begun to serve it.
 func (c *gatedConn) Close() error {
+	err := c.shut()
+	if !c.served.Load() {
+		c.end()
+	}
+	return err
+}
+
+// end frees the room of the connection. It is called once the server holds nothing for it any more.
+func (c *gatedConn) end() {
+	c.endOnce.Do(func() { c.listener.forget(c) })
+}
+
+// shut closes the connection, which the server finds out with its next read or write.
+func (c *gatedConn) shut() error {
 	c.closed.Store(true)
 	c.releaseTurn()
 	return c.Conn.Close()
@@ -103,18 +157,33 @@
 
 // Write implements net.Conn. After an error the library closes the connection.
 func (c *gatedConn) Write(b []byte) (int, error) {
-	c.setWriting(true)
-	defer c.setWriting(false)
-	if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	if !c.beginWrite() {
+		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	n, err := 0, c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err == nil {
+		n, err = c.Conn.Write(b)
+	}
+	c.endWrite(b[:n])
+	return n, err
 }
 
-func (c *gatedConn) setWriting(writing bool) {
+// beginWrite reports whether the connection may be written to.
+func (c *gatedConn) beginWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.writing = writing; !writing {
-		c.written.Broadcast()
+	if c.evicted {
+		return false
 	}
+	c.writing = true
+	return true
+}
+
+func (c *gatedConn) endWrite(written []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent.scan(written, c.streams.sent)
+	c.lastUsedAt = time.Now()
+	c.writing = false
+	c.written.Broadcast()
 }
--- a/internal/grpcserver/server.go
+++ b/internal/grpcserver/server.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -51,37 +50,35 @@
 		grpc.InTapHandle(a.admit),
 		grpc.StatsHandler(connectionTagger{}),
 		grpc.UnaryInterceptor(handleUnary),
+		grpc.StreamInterceptor(handleStream),
 	)
 }
 
-// Listen wraps a listener whose connections a server made by New serves.
-func Listen(l net.Listener, monitor *memory.Monitor) net.Listener { return &gatedListener{l, monitor} }
-
 // admission decides which calls begin.
 type admission struct{ limits Limits }
 
-// callerKey and messageTimerKey are the keys of what a call's context holds.
+// connectionKey and messageTimerKey are the keys of what a call's context holds.
 type (
-	callerKey       struct{}
+	connectionKey   struct{}
 	messageTimerKey struct{}
 )
 
-// caller is what the calls of one connection hold. The library calls admit for one call of a connection at a time.
-type caller struct{ calls *memory.Budget }
-
-// admit lets a call begin if there is memory for it. The context that it returns ends if the call's message does not come in time.
+// admit lets a call begin if there is memory for it. The library calls it for one call of a connection at a time. The context that it returns ends if the call's message does not come in time.
 func (a *admission) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
 	defer crash.Guard()
-	c, _ := ctx.Value(callerKey{}).(*caller)
+	c, _ := ctx.Value(connectionKey{}).(*gatedConn)
 	size := int64(a.limits.CallBytes)
-	if c == nil || !a.limits.Calls.Fits(c.calls.Used(), size) {
+	if c == nil {
+		return nil, status.Error(codes.Internal, "no connection")
+	}
+	if !a.limits.Calls.Fits(c.callsInHand.Used(), size) {
 		return nil, status.Error(codes.ResourceExhausted, "too many calls are open")
 	}
 	a.limits.Calls.Add(size)
-	c.calls.Add(size)
+	c.callsInHand.Add(size)
 	context.AfterFunc(ctx, func() {
 		a.limits.Calls.Add(-size)
-		c.calls.Add(-size)
+		c.callsInHand.Add(-size)
 	})
 	for _, name := range a.limits.StreamCalls {
 		if name == info.FullMethodName {
@@ -100,15 +97,32 @@
 	if timer, ok := ctx.Value(messageTimerKey{}).(*time.Timer); ok {
 		timer.Stop()
 	}
+	if c, ok := ctx.Value(connectionKey{}).(*gatedConn); ok {
+		c.unaryCalls.Add(1)
+		defer c.unaryCalls.Add(-1)
+	}
 	return handle(ctx, req)
 }
 
-// connectionTagger gives each connection's calls their caller.
+// handleStream handles a call that stays open. Its connection counts as idle if it has no other calls.
+func handleStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handle grpc.StreamHandler) error {
+	defer crash.Guard()
+	if c, ok := stream.Context().Value(connectionKey{}).(*gatedConn); ok {
+		c.openWatchers.Add(1)
+		defer c.openWatchers.Add(-1)
+	}
+	return handle(server, stream)
+}
+
+// connectionTagger gives each call its connection, and tells the connection when the server begins and ends it.
 type connectionTagger struct{}
 
 // TagConn implements stats.Handler.
-func (connectionTagger) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
-	return context.WithValue(ctx, callerKey{}, &caller{calls: memory.NewBudget("caller", 0)})
+func (connectionTagger) TagConn(ctx context.Context, info *stats.ConnTagInfo) context.Context {
+	if addr, ok := info.RemoteAddr.(callerAddr); ok {
+		return context.WithValue(ctx, connectionKey{}, addr.conn)
+	}
+	return ctx
 }
 
 // TagRPC implements stats.Handler.
@@ -118,4 +132,15 @@
 func (connectionTagger) HandleRPC(context.Context, stats.RPCStats) {}
 
 // HandleConn implements stats.Handler.
-func (connectionTagger) HandleConn(context.Context, stats.ConnStats) {}
+func (connectionTagger) HandleConn(ctx context.Context, event stats.ConnStats) {
+	c, ok := ctx.Value(connectionKey{}).(*gatedConn)
+	if !ok {
+		return
+	}
+	switch event.(type) {
+	case *stats.ConnBegin:
+		c.served.Store(true)
+	case *stats.ConnEnd:
+		c.end()
+	}
+}
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -15,7 +15,6 @@
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
 	entriesv3 "github.com/envoyproxy/go-control-plane/envoy/extensions/common/ratelimit/v3"
 	rlsv3 "github.com/envoyproxy/go-control-plane/envoy/service/ratelimit/v3"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/health"
@@ -106,7 +105,7 @@
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
 	crash.Go(func() {
-		_ = f.server.Serve(grpcserver.Listen(netutil.LimitListener(socket.RetryAccept(l), f.maxConnections), f.memory.Monitor))
+		_ = f.server.Serve(grpcserver.Listen(socket.RetryAccept(l), f.maxConnections, f.memory.Monitor))
 	})
 	return l.Addr(), nil
 }
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -167,16 +167,6 @@
 	return n
 }
 
-// readNow reads what the kernel has, without waiting.
-func readNow(fd int, b []byte) (n int, err error) {
-	for {
-		n, err = syscall.Read(fd, b)
-		if !errors.Is(err, syscall.EINTR) {
-			return max(n, 0), err
-		}
-	}
-}
-
 // Done is closed once this side has closed the connection.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
@@ -235,17 +225,7 @@
 
 // Drained reports whether the connection is open and the kernel has no unread bytes of it. Where the reader's lock is held, none
 // are on their way to the owner either.
-func (c *Conn) Drained() bool {
-	if c.ended.Load() {
-		return false
-	}
-	var err error
-	open := c.ask(func(fd int) {
-		var one [1]byte
-		_, _, err = syscall.Recvfrom(fd, one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return open && errors.Is(err, syscall.EAGAIN)
-}
+func (c *Conn) Drained() bool { return !c.ended.Load() && Descriptor{c.raw}.Drained() }
 
 const siocOutqNSD = 0x894b // ioctl SIOCOUTQNSD: bytes in the send queue that have not been sent
 
@@ -261,25 +241,7 @@
 
 // PeerClosed reports whether the peer has closed the connection or its sending side. It asks the kernel, since the reader may not
 // have got there yet, and also detects a close behind bytes that nobody has read.
-func (c *Conn) PeerClosed() bool {
-	if c.ended.Load() {
-		return true
-	}
-	var events int16
-	var err error
-	open := c.ask(func(fd int) { events, err = pollNow(fd, unix.POLLRDHUP) })
-	return !open || err == nil && events != 0
-}
-
-// pollNow polls a descriptor without blocking, again if a signal interrupts the call.
-func pollNow(fd int, events int16) (int16, error) {
-	for {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: events}}
-		if _, err := unix.Poll(polled, 0); err != unix.EINTR {
-			return polled[0].Revents, err
-		}
-	}
-}
+func (c *Conn) PeerClosed() bool { return c.ended.Load() || Descriptor{c.raw}.PeerClosed() }
 
 // Abort shuts down both directions immediately, even during a write, and does not block. Close must still be called; it then
 // resets the connection, and bytes that the kernel still holds are not sent.
