grpcserver: a caller that stops inside a frame is closed within 2.4 s

Seen by callers: one that writes a part of a frame, or half of a header block, and stays, got neither an error nor a close. Clients that stop in the middle of a request are owed one of these within 3 s. Found by a test for the idle callers.

Cause: the library bounds the handshake, and the server the message of a call once its headers have been read. Headers that never end had no bound.

The reads that wait for the rest of a frame have 2.4 s in all; while calls of the same connection are in progress the end is put off, since it would cost them their answers. Only time spent waiting for the caller counts, not the limiter's own pauses.

TestCallerThatStopsInsideFrameIsClosed failed before (half a frame: the connection stays open) and passes."

--- a/cmd/bramblefall/idle_callers_test.go
+++ b/cmd/bramblefall/idle_callers_test.go
@@ -6,6 +6,7 @@
 	bigendian "encoding/binary"
 	"fmt"
 	"net"
+	"os"
 	"os/exec"
 	"strings"
 	"sync"
@@ -265,6 +266,37 @@
 	require.Equal(t, c.stream, last)
 }
 
+// Callers that stop in the middle of a frame are closed within the 3 s that such clients are owed, but not while a call of theirs
+// is in progress.
+func TestCallerThatStopsInsideFrameIsClosed(t *testing.T) {
+	t.Parallel()
+	const owedWithin = 3 * time.Second
+	release := make(chan struct{})
+	o := &externalService{answer: func(ctx context.Context, r *rlsv3.RateLimitRequest) (*rlsv3.RateLimitResponse, error) {
+		<-release
+		return respondWith(verdictOK)(ctx, r)
+	}}
+	l := start(t, fixture{rateLimitFile: rateLimitFile(t, o.listen(t))})
+	for _, name := range []string{"half of the headers", "half a frame"} {
+		c, err := dialRaw("tcp", l.grpcAddr)
+		require.NoError(t, err)
+		defer c.conn.Close()
+		require.NoError(t, idleCallerKinds()[name](c))
+		_ = c.conn.SetReadDeadline(time.Now().Add(owedWithin))
+		err = c.readUntil(never)
+		require.Error(t, err)
+		require.False(t, os.IsTimeout(err), "%s: the connection stays open", name)
+	}
+	c, err := dialRaw("tcp", l.grpcAddr)
+	require.NoError(t, err)
+	defer c.conn.Close()
+	require.NoError(t, c.call(checkPath, rateLimitRequest(firmDescriptor("a1"))))
+	_, err = c.conn.Write([]byte{0, 0, 100, byte(http2.FrameHeaders), 0, 0, 0, 0, 3, 'h'})
+	require.NoError(t, err)
+	time.AfterFunc(owedWithin, func() { close(release) })
+	require.NoError(t, c.readUntil(streamEnded), "the call that was in progress has lost its answer")
+}
+
 // Idle callers held all places of the admin service, and operators' commands were not answered.
 func TestIdleCallersLeaveRoomForOperators(t *testing.T) {
 	t.Parallel()
--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -1,7 +1,9 @@
 package grpcserver
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,9 @@
 	writeTimeout  = 5 * time.Second // a caller that takes longer to accept one write is not reading
 	reliefTimeout = time.Second     // longest pause of a reader while memory is short
 	turnTimeout   = 10 * time.Millisecond
+
+	// deadlineExtension is how much longer than messageTimeout the rest of a frame may take, at a time, where that is due.
+	deadlineExtension = 100 * time.Millisecond
 )
 
 // bulkTurn is held by one reader at a time from when it has read a full buffer until it reads again, so that callers who send much
@@ -30,6 +35,7 @@
 	listener   *Listener
 
 	readFull     bool // the last read filled its buffer
+	deadlineSet  bool // a read deadline is set; used only by Read
 	hasTurn      atomic.Bool
 	closed       atomic.Bool
 	served       atomic.Bool // the server has begun to serve calls, and reports the end
@@ -38,14 +44,15 @@
 	openWatchers atomic.Int64   // calls that stay open and owe no answer
 	unaryCalls   atomic.Int64   // calls that are being handled
 
-	mu         sync.Mutex
-	written    *sync.Cond
-	writing    bool
-	evicted    bool // nothing more is read or written
-	received   frameScanner
-	sent       frameScanner
-	streams    openStreams
-	lastUsedAt time.Time // when bytes last came or went
+	mu            sync.Mutex
+	written       *sync.Cond
+	writing       bool
+	evicted       bool // nothing more is read or written
+	received      frameScanner
+	sent          frameScanner
+	streams       openStreams
+	lastUsedAt    time.Time     // when bytes last came or went
+	partialWaited time.Duration // for the rest of the frame that has begun
 }
 
 func newGatedConn(conn net.Conn, descriptor socket.Descriptor, l *Listener) *gatedConn {
@@ -76,7 +83,7 @@
 	for began := time.Now(); c.listener.monitor.Pressed() && time.Since(began) < reliefTimeout; {
 		c.listener.monitor.AwaitRelief(memory.MaxReliefPause)
 	}
-	n, err := c.readNext(b)
+	n, err := c.readPart(b)
 	if c.readFull {
 		c.awaitTurn()
 	}
@@ -85,6 +92,58 @@
 	return n, err
 }
 
+// readPart reads what comes next. It fails once the connection has waited for messageTimeout in all for the rest of a frame and no
+// answer is due. The time that the reader is held back here does not count.
+func (c *gatedConn) readPart(b []byte) (int, error) {
+	for {
+		began := time.Now()
+		if err := c.setPartialDeadline(began); err != nil {
+			return 0, err
+		}
+		n, err := c.readNext(b)
+		if !c.deadlineSet {
+			return n, err
+		}
+		c.notePartialWait(time.Since(began))
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.deservesMoreTime() {
+			return n, err
+		}
+	}
+}
+
+// setPartialDeadline bounds how long the reader waits for the rest of a frame. The library bounds the handshake itself.
+func (c *gatedConn) setPartialDeadline(now time.Time) error {
+	c.mu.Lock()
+	partial := c.received.frames > 0 && !c.received.atBoundary()
+	left := max(messageTimeout-c.partialWaited, deadlineExtension)
+	c.mu.Unlock()
+	if !partial && !c.deadlineSet {
+		return nil
+	}
+	c.deadlineSet = partial
+	if !partial {
+		return c.Conn.SetReadDeadline(time.Time{})
+	}
+	return c.Conn.SetReadDeadline(now.Add(left))
+}
+
+// notePartialWait adds to the time that the connection has waited for the rest of a frame.
+func (c *gatedConn) notePartialWait(waited time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.received.atBoundary() {
+		c.partialWaited += waited
+	}
+}
+
+// deservesMoreTime reports whether a connection whose time for the rest of a frame is over is kept nevertheless: its end would cost
+// an answer, or the rest has come while this process did not run.
+func (c *gatedConn) deservesMoreTime() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.owesAnswer() || !c.descriptor.Drained() && !c.descriptor.PeerClosed()
+}
+
 // readNext waits for bytes and takes them from the kernel with the lock held: what has been taken is known to closeIfIdle.
 func (c *gatedConn) readNext(b []byte) (int, error) {
 	return c.descriptor.Read(b, func(read func() int) bool {
@@ -103,8 +162,12 @@
 	if len(b) == 0 {
 		return
 	}
+	wasPartial, frames := !c.received.atBoundary(), c.received.frames
 	c.received.scan(b, c.streams.received)
 	c.lastUsedAt = time.Now()
+	if !wasPartial || c.received.frames > frames {
+		c.partialWaited = 0
+	}
 }
 
 func (c *gatedConn) awaitTurn() {
