grpcserver: short memory holds a call back four times at most, not at each piece

Seen by callers, suspected: while live objects fill their part of the memory limit, calls of the gRPC front end with their deadline, read in part, and new callers do not get through the handshake. On real processes seen only beside floods, where calls wait for other reasons, too; the test below shows it for the server alone.

Cause, by reading and shown by the test: each read of 4 KB waited for memory for up to 1 s, two or three times in a handshake and a small call, 17 times for one of 64 KB.

A connection waits once for each 16 KB that it has read, 0.4 s at most, which is 1.6 s for the largest call, and not in the handshake. One that was closed here to make room stops waiting within 10 ms, so that its place is free.

TestCallIsReadInTimeWhileMemoryIsShort and TestClosedConnectionDoesNotWaitForMemory failed before and pass."

--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	writeTimeout  = 5 * time.Second // a caller that takes longer to accept one write is not reading
-	reliefTimeout = time.Second     // longest pause of a reader while memory is short
+	writeTimeout  = 5 * time.Second        // a caller that takes longer to accept one write is not reading
+	reliefTimeout = 400 * time.Millisecond // longest pause of a reader while memory is short
+	reliefPause   = 10 * time.Millisecond  // after which a reader looks whether its connection has been closed here
+	reliefBytes   = 16 << 10               // read from a caller between two such pauses
 	turnTimeout   = 10 * time.Millisecond
 
 	// deadlineExtension is how much longer than messageTimeout the rest of a frame may take, at a time, where that is due.
@@ -34,15 +36,16 @@
 	descriptor socket.Descriptor
 	listener   *Listener
 
-	readFull     bool // the last read filled its buffer
-	deadlineSet  bool // a read deadline is set; used only by Read
-	hasTurn      atomic.Bool
-	closed       atomic.Bool
-	served       atomic.Bool // the server has begun to serve calls, and reports the end
-	endOnce      sync.Once
-	callsInHand  *memory.Budget // bytes that the calls of this connection hold
-	openWatchers atomic.Int64   // calls that stay open and owe no answer
-	unaryCalls   atomic.Int64   // calls that are being handled
+	readFull        bool // the last read filled its buffer
+	readSinceRelief int  // bytes read since the last pause for want of memory; used only by Read
+	deadlineSet     bool // a read deadline is set; used only by Read
+	hasTurn         atomic.Bool
+	closed          atomic.Bool
+	served          atomic.Bool // the server has begun to serve calls, and reports the end
+	endOnce         sync.Once
+	callsInHand     *memory.Budget // bytes that the calls of this connection hold
+	openWatchers    atomic.Int64   // calls that stay open and owe no answer
+	unaryCalls      atomic.Int64   // calls that are being handled
 
 	mu            sync.Mutex
 	written       *sync.Cond
@@ -80,18 +83,30 @@
 func (c *gatedConn) Read(b []byte) (int, error) {
 	c.releaseTurn()
 	c.awaitWritten()
-	for began := time.Now(); c.listener.monitor.Pressed() && time.Since(began) < reliefTimeout; {
-		c.listener.monitor.AwaitRelief(memory.MaxReliefPause)
-	}
+	c.awaitRelief()
 	n, err := c.readPart(b)
 	if c.readFull {
 		c.awaitTurn()
 	}
 	c.readFull = n == len(b)
+	c.readSinceRelief += n
 	c.listener.monitor.NoteRead(n)
 	return n, err
 }
 
+// awaitRelief blocks while memory is short, once for each reliefBytes that have been read: a call waits for it a few times at most,
+// whatever its pieces, and the handshake of a new caller not at all.
+func (c *gatedConn) awaitRelief() {
+	monitor := c.listener.monitor
+	if c.readSinceRelief < reliefBytes || !monitor.Pressed() {
+		return
+	}
+	for until := time.Now().Add(reliefTimeout); monitor.Pressed() && !c.closed.Load() && time.Now().Before(until); {
+		monitor.AwaitRelief(reliefPause)
+	}
+	c.readSinceRelief = 0
+}
+
 // readPart reads what comes next. It fails once the connection has waited for messageTimeout in all for the rest of a frame and no
 // answer is due. The time that the reader is held back here does not count.
 func (c *gatedConn) readPart(b []byte) (int, error) {
--- a/internal/grpcserver/listener_test.go
+++ b/internal/grpcserver/listener_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"os"
+	"runtime"
+	"runtime/debug"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -83,6 +87,55 @@
 	require.NoError(t, call(ctx, t, addr, &rlsv3.RateLimitRequest{}))
 }
 
+// pressedMonitor returns a monitor that finds memory short until the test ends.
+func pressedMonitor(t *testing.T) *memory.Monitor {
+	monitor := memory.NewMonitor(memory.Limits{Process: 1 << 40, Go: 1})
+	t.Cleanup(func() { debug.SetMemoryLimit(math.MaxInt64) })
+	runtime.GC()
+	monitor.NoteRead(1 << 20)
+	require.True(t, monitor.Pressed())
+	return monitor
+}
+
+// A connection that was closed to make room kept its place while its reader waited for memory, 0.4 s, and those who came meanwhile
+// were turned away one by one.
+func TestClosedConnectionDoesNotWaitForMemory(t *testing.T) {
+	const sent, readerWaits = 40 << 10, 100 * time.Millisecond
+	l, err := loopback.Listen()
+	require.NoError(t, err)
+	server := New(Limits{Calls: memory.NewBudget("calls", 1<<20), CallBytes: 64 << 10, Streams: 4})
+	rlsv3.RegisterRateLimitServiceServer(server, &heldService{})
+	gated := Listen(l, 4, pressedMonitor(t))
+	go func() { _ = server.Serve(gated) }()
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	stream, err := conn.NewStream(t.Context(), &grpc.StreamDesc{ClientStreams: true}, rlsv3.RateLimitService_ShouldRateLimit_FullMethodName)
+	require.NoError(t, err)
+	for range 4 {
+		require.NoError(t, stream.SendMsg(&rlsv3.RateLimitRequest{Domain: strings.Repeat("d", sent)}))
+	}
+	time.Sleep(readerWaits)
+	list := gated.list()
+	require.Len(t, list, 1)
+	_ = list[0].shut()
+	require.Eventually(t, func() bool { return len(gated.list()) == 0 }, evictionTimeout, time.Millisecond)
+}
+
+// While memory was short, each piece of a call waited for up to a second, and so did the handshake before it: a call of 60 KB took
+// longer than its caller waits.
+func TestCallIsReadInTimeWhileMemoryIsShort(t *testing.T) {
+	const callerWaits = 4 * time.Second // the deadline of the deployments' reads
+	monitor := pressedMonitor(t)
+	service := &heldService{begun: make(chan struct{}, 1), release: make(chan struct{})}
+	close(service.release)
+	addr := serve(t, service, 64<<10, 4, monitor)
+	ctx, cancel := context.WithTimeout(t.Context(), callerWaits)
+	defer cancel()
+	require.NoError(t, call(ctx, t, addr, &rlsv3.RateLimitRequest{Domain: strings.Repeat("d", 60000)}))
+}
+
 // Each newcomer waited in turn for a connection that the server was slow to end. Once one has waited in vain, those behind it are
 // turned away at once, until there is room again.
 func TestSlowEndKeepsOneNewcomerWaiting(t *testing.T) {
