grpcserver: calls that have ended are written out before more is read of their caller

Cause: the bytes of a call are given back to the budget when its context ends, while the library keeps the stream and what has come of it until its writer has written the end. With 120 callers the writers wait for the processor, and readers take in new calls meanwhile. A heap profile at 70 MB (trial): 36 of 51 MB in the library's frame buffers, 116 of 120 writers ready to run.

With more than four ends unwritten a connection is not read from, for 0.1 s at most. The flood decides in TestFloodsStayUnderMemoryLimit again, so the choice by name is gone from the tests; the gRPC floods stand in a file of their own.

--- a/cmd/bramblefall/flood_test.go
+++ b/cmd/bramblefall/flood_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	bigendian "encoding/binary"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,8 +17,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/net/http2"
-	"golang.org/x/net/http2/hpack"
 )
 
 // The flood tests let every kind of peer send more than the limiter can handle, or not read what it sends, and look at the whole
@@ -167,43 +164,6 @@
 
 const endlessBytes = 64 << 20
 
-func sendGRPCFlood(path string, claimed, sent int) func(context.Context, *floodEnvironment, net.Conn) {
-	return func(ctx context.Context, _ *floodEnvironment, conn net.Conn) {
-		var text bytes.Buffer
-		framer := http2.NewFramer(&text, nil)
-		text.WriteString(http2.ClientPreface)
-		_ = framer.WriteSettings()
-		_ = framer.WriteWindowUpdate(0, 1<<30)
-		for stream := uint32(1); stream < 1<<20 && ctx.Err() == nil; stream += 2 {
-			var block bytes.Buffer
-			fields := hpack.NewEncoder(&block)
-			for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", path}, {":authority", "a"},
-				{"content-type", "application/grpc"}, {"te", "trailers"}, {"x-padding", strings.Repeat("h", 2000)}} {
-				_ = fields.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
-			}
-			_ = framer.WriteHeaders(http2.HeadersFrameParam{StreamID: stream, BlockFragment: block.Bytes(), EndHeaders: true})
-			message := make([]byte, sent)
-			if sent > 0 {
-				bigendian.BigEndian.PutUint32(message[1:], uint32(claimed))
-			}
-			for len(message) > 0 {
-				n := min(len(message), 16<<10)
-				_ = framer.WriteData(stream, false, message[:n])
-				message = message[n:]
-			}
-			if err := writeAll(conn, text.String()); err != nil {
-				return
-			}
-			text.Reset()
-		}
-	}
-}
-
-const (
-	checkPath = "/envoy.service.ratelimit.v3.RateLimitService/ShouldRateLimit"
-	applyPath = "/bramblefall.admin.v1.Admin/ApplyPlans"
-)
-
 func floods() []flood {
 	endlessLists := func(line func(n int) string, first string) func(*testing.T, *fixture, string) {
 		return func(t *testing.T, f *fixture, _ string) {
@@ -281,11 +241,11 @@
 			}
 			return fmt.Sprintf(`{"version":%d,"full":false,"servers":[%s]}`+"\n", 10+n, list.String()[1:])
 		}, "\n")},
-		{name: "gRPC calls that never end", attackers: 120, attack: sendGRPCFlood(checkPath, 900<<10, 60<<10), setUp: withRateLimitFront,
+		{name: "gRPC calls that never end", attackers: 120, attack: sendGRPCFlood(checkPath, 900<<10, 60<<10, false), setUp: withRateLimitFront,
 			network: func(e *floodEnvironment) (string, string) { return "tcp", e.limiter.grpcAddr }},
-		{name: "gRPC calls without a message", attackers: 120, attack: sendGRPCFlood(checkPath, 0, 0), setUp: withRateLimitFront,
+		{name: "gRPC calls without a message", attackers: 120, attack: sendGRPCFlood(checkPath, 0, 0, false), setUp: withRateLimitFront,
 			network: func(e *floodEnvironment) (string, string) { return "tcp", e.limiter.grpcAddr }},
-		{name: "calls of the admin service that never end", attackers: 16, attack: sendGRPCFlood(applyPath, 15<<20, 60<<10), setUp: withAdminService,
+		{name: "calls of the admin service that never end", attackers: 16, attack: sendGRPCFlood(applyPath, 15<<20, 60<<10, false), setUp: withAdminService,
 			network: func(e *floodEnvironment) (string, string) { return "unix", e.socket }},
 	}
 }
@@ -489,33 +449,18 @@
 	})
 }
 
-// grpcFloodOverLimit is the flood that made a limiter of 64 MB take 91 MB, beside other processes that kept the machine busy.
-const grpcFloodOverLimit = "gRPC calls that never end"
-
-// selectFloods returns the runs whose flood is, or is not, of the given name.
-func selectFloods(runs []floodRun, name string, is bool) (selected []floodRun) {
-	for _, r := range runs {
-		if (r.name == name) == is {
-			selected = append(selected, r)
-		}
-	}
-	return selected
-}
-
 func allFloods() bool { return os.Getenv("BRAMBLEFALL_FLOODS") == "all" }
 
-// A limiter passed its memory limit: 449 MB of 192, from eight clients that sent commands and did not read the answers.
+// A limiter passed its memory limit: 449 MB of 192, from eight clients that sent commands and did not read the answers; and 91 MB of
+// 64, beside gRPC calls that never end, whose data was kept after the calls had ended until the library had written their ends.
 func TestFloodsStayUnderMemoryLimit(t *testing.T) {
 	seed := envUint("BRAMBLEFALL_SEED", firstFloodSeed)
-	playFloods(t, seed, selectFloods(drawFloods(seed, allFloods()), grpcFloodOverLimit, false))
+	playFloods(t, seed, drawFloods(seed, allFloods()))
 }
 
 // What does not always hold beside a flood where the limiter or the machine has little processor time.
 func TestUnderFloodWithLittleProcessorTime(t *testing.T) {
 	seed := envUint("BRAMBLEFALL_SEED", firstFloodSeed)
-	t.Run("gRPC calls that never end", func(t *testing.T) {
-		playFloods(t, seed, selectFloods(drawFloods(seed, allFloods()), grpcFloodOverLimit, true))
-	})
 	// Half of the requests of clients that behave are served on a tenth of a core, too.
 	t.Run("clients are served on a tenth of a core", func(t *testing.T) {
 		runs := drawFloods(seed, false)
--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -21,6 +21,10 @@
 	reliefBytes   = 16 << 10               // read from a caller between two such pauses
 	turnTimeout   = 10 * time.Millisecond
 
+	maxUnwrittenAnswers = 4 // of calls that have ended, on one connection, from which on it is not read from
+	answersTimeout      = 100 * time.Millisecond
+	answersPause        = time.Millisecond
+
 	// deadlineExtension is how much longer than messageTimeout the rest of a frame may take, at a time, where that is due.
 	deadlineExtension = 100 * time.Millisecond
 )
@@ -44,6 +48,7 @@
 	served          atomic.Bool // the server has begun to serve calls, and reports the end
 	endOnce         sync.Once
 	callsInHand     *memory.Budget // bytes that the calls of this connection hold
+	callsInProgress atomic.Int64   // calls that the library has begun and not ended
 	openWatchers    atomic.Int64   // calls that stay open and owe no answer
 	unaryCalls      atomic.Int64   // calls that are being handled
 
@@ -83,6 +88,7 @@
 func (c *gatedConn) Read(b []byte) (int, error) {
 	c.releaseTurn()
 	c.awaitWritten()
+	c.awaitAnswersWritten()
 	c.awaitRelief()
 	n, err := c.readPart(b)
 	if c.readFull {
@@ -225,6 +231,25 @@
 	return c.Conn.Close()
 }
 
+// awaitAnswersWritten blocks, for a bounded time, while calls have ended whose answers the library has not written: until then it
+// keeps what has come of these calls and what it answers, which is not counted in the budget. All frames read so far have been
+// handled by now.
+func (c *gatedConn) awaitAnswersWritten() {
+	for began := time.Now(); !c.closed.Load(); {
+		if c.unwrittenAnswers() <= maxUnwrittenAnswers || time.Since(began) >= answersTimeout {
+			return
+		}
+		time.Sleep(answersPause)
+	}
+}
+
+// unwrittenAnswers returns how many calls have ended without the end of their streams having been written.
+func (c *gatedConn) unwrittenAnswers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.streams.whole) - int(c.callsInProgress.Load())
+}
+
 func (c *gatedConn) awaitWritten() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/grpcserver/server.go
+++ b/internal/grpcserver/server.go
@@ -76,7 +76,9 @@
 	}
 	a.limits.Calls.Add(size)
 	c.callsInHand.Add(size)
+	c.callsInProgress.Add(1)
 	context.AfterFunc(ctx, func() {
+		c.callsInProgress.Add(-1)
 		a.limits.Calls.Add(-size)
 		c.callsInHand.Add(-size)
 	})
