tests: the share served beside a flood is judged by twelve answers at least

The bound is as it was. Where the service is judged, the flood goes on until each client has twelve answers, 20 s at most, so that the memory is watched for longer, too.

--- a/cmd/bramblefall/flood_test.go
+++ b/cmd/bramblefall/flood_test.go
@@ -29,6 +29,8 @@
 	floodCrowd         = 320 // attackers who do not
 	floodSockets       = 384 // descriptors of a limiter under a flood
 	floodDuration      = 5 * time.Second
+	maxFloodDuration   = 4 * floodDuration // for clients that behave to get politeSample answers
+	politeSample       = 12                // answers by which the share of served requests is judged
 	slowAnswer         = 100 * time.Millisecond
 	concurrentFloods   = 4
 	floodWriteTimeout  = 2 * time.Second
@@ -265,6 +267,11 @@
 type politeClient struct {
 	sent, answered, served int
 	refusals               map[string]int // by the answer
+	sampled                chan struct{}  // closed at politeSample answers
+}
+
+func newPoliteClient() *politeClient {
+	return &politeClient{refusals: map[string]int{}, sampled: make(chan struct{})}
 }
 
 // run sends requests until ctx ends. A request that crosses the close of its connection is sent once more, as the protocol says; a
@@ -304,8 +311,14 @@
 	}
 }
 
+func (p *politeClient) String() string {
+	return fmt.Sprintf("{sent:%d answered:%d served:%d refusals:%v}", p.sent, p.answered, p.served, p.refusals)
+}
+
 func (p *politeClient) note(line string) {
-	p.answered++
+	if p.answered++; p.answered == politeSample {
+		close(p.sampled)
+	}
 	if strings.HasPrefix(line, "$") {
 		p.served++
 	} else {
@@ -350,21 +363,27 @@
 	return fmt.Sprintf("%s, %d MB, %s", r.name, r.memoryMB, map[bool]string{false: "a full core", true: "a tenth of a core"}[r.starved])
 }
 
+// floodSettings have a plan for clients that behave and one that attackers' requests are far beyond.
+func floodSettings() object {
+	s := settings()
+	s["tariffs"] = []object{plan("regular", 1e5, 1e5, 0), plan("bounded", boundedRate, boundedRate, 0)}
+	return s
+}
+
 func (r floodRun) play(t *testing.T, seed uint64) {
 	dir := t.TempDir()
 	f := fixture{memoryMB: r.memoryMB, maxDescriptors: floodSockets, servers: goodServers(t, 3, replyValue("v"))}
-	f.settings = settings()
-	f.settings["tariffs"] = []object{plan("regular", 1e5, 1e5, 0), plan("bounded", boundedRate, boundedRate, 0)}
+	f.settings = floodSettings()
 	if r.setUp != nil {
 		r.setUp(t, &f, dir)
 	}
 	e := &floodEnvironment{limiter: start(t, f), socket: adminSocketPath(dir)}
 	l := e.limiter
 	atRest := l.memoryMB("VmRSS")
-	ctx, cancel := context.WithTimeout(t.Context(), floodDuration)
+	ctx, cancel := context.WithTimeout(t.Context(), maxFloodDuration)
 	defer cancel()
 	var peers sync.WaitGroup
-	small, large := politeClient{refusals: map[string]int{}}, politeClient{refusals: map[string]int{}}
+	small, large := newPoliteClient(), newPoliteClient()
 	peers.Go(func() { small.run(ctx, e, "") })
 	peers.Go(func() { large.run(ctx, e, strings.Repeat("b", politeBodyBytes)) })
 	for range r.attackers {
@@ -374,20 +393,22 @@
 		rng := rand.New(rand.NewPCG(seed, 102))
 		l.runIntermittently(rng, floodDuration, func() {})
 	}
+	r.awaitEnd(ctx, small, large)
+	cancel()
 	peers.Wait()
 	highest, floor := l.memoryMB("VmHWM"), 0
 	recovered := assert.Eventually(t, func() bool {
 		floor = l.memoryMB("VmRSS")
 		return float64(floor) <= recoveredShare*float64(r.memoryMB)
 	}, recoveryTimeout, 100*time.Millisecond, "the resident set does not come down")
-	t.Logf("%v: %d MB at rest, %d at the highest, %d after; small requests %+v, large ones %+v", r, atRest, highest, floor, small, large)
+	t.Logf("%v: %d MB at rest, %d at the highest, %d after; small requests %v, large ones %v", r, atRest, highest, floor, small, large)
 	assert.Less(t, float64(highest), floodHighWater*float64(r.memoryMB), "the whole resident set passes the limit")
-	for name, p := range map[string]politeClient{"small": small, "large": large} {
+	for name, p := range map[string]*politeClient{"small": small, "large": large} {
 		assert.Positive(t, p.sent, name)
 		if r.attackers < floodCrowd {
 			assert.GreaterOrEqual(t, p.answered+1, p.sent, "%s requests of a client that behaves were not answered", name)
 		}
-		if r.requiresService && r.attackers < floodCrowd && !r.withinQuota && !r.serversFail { // in a crowd without room, a connection may be closed unread
+		if r.judgesService() {
 			assert.GreaterOrEqual(t, 2*p.served, p.sent, "fewer than half of the %s requests of a client that behaves were served", name)
 		}
 	}
@@ -396,6 +417,28 @@
 	}
 }
 
+// judgesService reports whether half of the requests of clients that behave must be served. In a crowd without room, a connection may
+// be closed unread.
+func (r floodRun) judgesService() bool {
+	return r.requiresService && r.attackers < floodCrowd && !r.withinQuota && !r.serversFail
+}
+
+// awaitEnd waits for the end of a flood, which goes on while there are too few answers to judge the service by.
+func (r floodRun) awaitEnd(ctx context.Context, clients ...*politeClient) {
+	if !r.starved { // else the flood has lasted while the limiter ran intermittently
+		time.Sleep(floodDuration)
+	}
+	if !r.judgesService() {
+		return
+	}
+	for _, p := range clients {
+		select {
+		case <-p.sampled:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // attackUntil plays connections one after the other until ctx ends.
 func (r floodRun) attackUntil(ctx context.Context, e *floodEnvironment) {
 	network, addr := "tcp", e.limiter.addr
