memory: a new holder of a budget may have half of what is free, no longer all of it

Cause: one that holds nothing could have all that is free, so that those who ask for much left nothing to those who ask for little.

It has half now.

--- a/cmd/bramblefall/flood_test.go
+++ b/cmd/bramblefall/flood_test.go
@@ -517,3 +517,15 @@
 	t.Run("soak", func(t *testing.T) { playSoaks(t, floodedSoakSeeds, true) })
 	t.Run("faults", func(t *testing.T) { playFaults(t, firstFloodedSeed, 1) })
 }
+
+// Beside clients who send the largest commands and slow servers, most requests of 8 KiB were refused at the smallest limit.
+func TestRequestsAreServedBesideLargeCommands(t *testing.T) {
+	const name = "large commands, servers slow"
+	for _, f := range floods() {
+		if f.name == name {
+			playFloods(t, firstFloodSeed, []floodRun{{flood: f, memoryMB: smallMemoryCapMB, requiresService: true}})
+			return
+		}
+	}
+	require.FailNow(t, "no such flood", name)
+}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -32,14 +32,16 @@
 // Used returns the bytes that are held.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
-// holderShare is the part of what is free that a holder may have in all.
-const holderShare = 0.25
+const (
+	holderShare    = 0.25 // of what is free, that a holder may have in all
+	newHolderShare = 0.5  // of what is free, that one that holds nothing may have
+)
 
-// Fits reports whether a holder that holds own bytes may have n more. One that holds nothing may have all that is free.
+// Fits reports whether a holder that holds own bytes may have n more. New holders of much leave room for those of little.
 func (b *Budget) Fits(own, n int64) bool {
 	free := b.limit - b.used.Load()
 	if own == 0 {
-		return n <= free
+		return n <= int64(newHolderShare*float64(free))
 	}
 	return own+n <= int64(holderShare*float64(free))
 }
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -77,6 +77,33 @@
 	require.False(t, b.Acquire(1, time.Millisecond, nil, nil))
 }
 
+// One who holds little finds room beside holders of much.
+func TestFitsLeavesRoomForNewHolders(t *testing.T) {
+	b := NewBudget("test", 100)
+	held := int64(0)
+	for b.Fits(held, 1) && held < 100 {
+		held++
+		b.Add(1)
+	}
+	require.Less(t, held, int64(30))
+	require.True(t, b.Fits(0, (100-held)/2))
+	require.False(t, b.Fits(0, (100-held)/2+1))
+}
+
+// New holders who asked for much took all that was free, and those who asked for little found none.
+func TestNewHoldersOfMuchLeaveRoomForThoseOfLittle(t *testing.T) {
+	const limit, much, little = 1600, 64, 10
+	b := NewBudget("test", limit)
+	for b.Fits(0, much) {
+		b.Add(much)
+	}
+	require.Greater(t, b.Used(), int64(limit-3*much))
+	for range much / little / 2 {
+		require.True(t, b.Fits(0, little))
+		b.Add(little)
+	}
+}
+
 // The log's peak counts what was granted after a wait, too.
 func TestPeakCountsGrants(t *testing.T) {
 	b := NewBudget("test", 10)
