memory: the resident set comes down within seconds of a load

Cause: what the load had mapped of the program's file, and what it left unused, was returned together, and the more rarely the less it had helped: after up to a minute.

From two fifths of the limit on, mapped pages of the program's file are returned each second, and unused memory after 10 s at the latest or once little is read any more.

--- a/cmd/bramblefall/flood_test.go
+++ b/cmd/bramblefall/flood_test.go
@@ -478,6 +478,20 @@
 	return runs
 }
 
+// besideServers returns a flood that is played beside a list of servers that discovery sends.
+func (f flood) besideServers(list []*server) flood {
+	setUp := f.setUp
+	f.setUp = func(t *testing.T, x *fixture, dir string) {
+		if setUp != nil {
+			setUp(t, x, dir)
+		}
+		x.registry = newRegistry(t)
+		x.registry.sendList(2, true, append(x.servers, list...)...)
+		x.servers = nil
+	}
+	return f
+}
+
 func playFloods(t *testing.T, seed uint64, runs []floodRun) {
 	slots := make(chan struct{}, concurrentFloods)
 	t.Run("floods", func(t *testing.T) {
@@ -518,6 +532,28 @@
 	t.Run("faults", func(t *testing.T) { playFaults(t, firstFloodedSeed, 1) })
 }
 
+// largestList returns 3,200 servers, the most that the operators' pages name.
+func largestList(t *testing.T) (servers []*server) {
+	for k := range 3200 {
+		servers = append(servers, newServer(t, fmt.Sprintf("s-%04d", k), "hall-a", replyValue("v")))
+	}
+	return servers
+}
+
+// Beside the largest list, the smallest limit holds under floods, too.
+func TestFloodsBesideLargestListStayUnderSmallestLimit(t *testing.T) {
+	servers := largestList(t)
+	chosen := map[string]bool{"requests, answers read": true, "large commands, most servers silent": true, "gRPC calls that never end": true}
+	var runs []floodRun
+	for _, f := range floods() {
+		if chosen[f.name] {
+			runs = append(runs, floodRun{flood: f.besideServers(servers), memoryMB: smallMemoryCapMB})
+		}
+	}
+	require.Len(t, runs, len(chosen))
+	playFloods(t, firstFloodSeed, runs)
+}
+
 // Beside clients who send the largest commands and slow servers, most requests of 8 KiB were refused at the smallest limit.
 func TestRequestsAreServedBesideLargeCommands(t *testing.T) {
 	const name = "large commands, servers slow"
--- a/cmd/bramblefall/memory_test.go
+++ b/cmd/bramblefall/memory_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -46,6 +48,42 @@
 	assert.Less(t, l.memoryMB("RssAnon"), smallMemoryCapMB/2)
 }
 
+// After a load, a limiter of the smallest cap that knows the largest list stayed at 20 MB for up to a minute: what it had mapped of
+// the program's file was kept until the next return of unused memory, and these became rare.
+func TestResidentSetComesDownSoonAfterLoad(t *testing.T) {
+	t.Parallel()
+	const (
+		load   = 6 * time.Second
+		rest   = 12 * time.Second
+		window = 3 * time.Second
+	)
+	f := fixture{memoryMB: smallMemoryCapMB, maxDescriptors: floodSockets, registry: newRegistry(t), settings: floodSettings()}
+	f.registry.sendList(2, true, largestList(t)...)
+	e := &floodEnvironment{limiter: start(t, f)}
+	ctx, cancel := context.WithTimeout(t.Context(), load)
+	defer cancel()
+	var peers sync.WaitGroup
+	for range floodRoom {
+		peers.Go(func() {
+			conn, err := net.Dial("tcp", e.limiter.addr)
+			if !assert.NoError(t, err) {
+				return
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			sendEndlessly(manyRequests, true)(ctx, e, conn)
+		})
+	}
+	peers.Wait()
+	for begin := time.Now(); time.Since(begin) < rest; {
+		lowest := e.limiter.memoryMB("VmRSS")
+		for windowBegin := time.Now(); time.Since(windowBegin) < window; time.Sleep(50 * time.Millisecond) {
+			lowest = min(lowest, e.limiter.memoryMB("VmRSS"))
+		}
+		t.Logf("%v after the load: %d MB", time.Since(begin), lowest)
+		assert.LessOrEqual(t, float64(lowest), recoveredShare*smallMemoryCapMB, "lowest within %v", window)
+	}
+}
+
 // Many commands of the largest size are in flight while servers do not answer. The memory that they take stays under the cap.
 func TestBytesInFlightAreBoundedByMemoryCap(t *testing.T) {
 	t.Parallel()
--- a/internal/memory/monitor.go
+++ b/internal/memory/monitor.go
@@ -13,10 +13,7 @@
 const (
 	checkInterval     = time.Second
 	reportInterval    = 10 * time.Second // between two log lines
-	minReleasePause   = 2 * time.Second  // between two returns of unused memory to the system
-	maxReleasePause   = time.Minute
-	reportedShare     = 0.75 // of the limit, from which on the resident set is logged
-	releaseShare      = 0.4  // of the limit, from which on unused memory is returned
+	reportedShare     = 0.75             // of the limit, from which on the resident set is logged
 	liveObjectsMetric = "/gc/heap/live:bytes"
 	heapObjectsMetric = "/memory/classes/heap/objects:bytes"
 	heapUnusedMetric  = "/memory/classes/heap/unused:bytes"
@@ -27,7 +24,7 @@
 )
 
 // Monitor watches the process's memory, logs what holds it, holds back readers before live objects fill the Go runtime's part of
-// the limit, and returns unused memory.
+// the limit, and returns unused memory and the program's pages.
 type Monitor struct {
 	limits  Limits
 	budgets []*Budget
@@ -35,13 +32,16 @@
 	readBytes atomic.Int64 // from peers, since the start
 	pressed   atomic.Bool
 
-	mu           sync.Mutex
-	samples      []metrics.Sample
-	reportedAt   time.Time
-	releasedAt   time.Time
-	collectedAt  time.Time
-	releasePause time.Duration
-	highest      int64 // resident set
+	mu                sync.Mutex
+	samples           []metrics.Sample
+	reportedAt        time.Time
+	releasedAt        time.Time
+	programReleasedAt time.Time
+	collectedAt       time.Time
+	releasePause      time.Duration
+	highest           int64 // resident set
+	readAtCheck       int64 // readBytes at the last check
+	readAtRelease     int64 // and when unused memory was last returned
 }
 
 // NewMonitor sets the Go runtime's limit and returns a monitor that reports these budgets.
@@ -90,9 +90,15 @@
 		m.reportedAt = now
 		m.report(resident, m.read())
 	}
-	if m.isOver(releaseShare, resident) && now.Sub(m.releasedAt) >= m.releasePause {
+	if !m.isOver(releaseShare, resident) {
+		return
+	}
+	if m.releaseDue(now) {
 		m.release()
-		m.releasedAt = now
+		m.releasedAt, m.readAtRelease = now, m.readBytes.Load()
+	} else if now.Sub(m.programReleasedAt) >= programPause {
+		ReleaseProgramPages()
+		m.programReleasedAt = now
 	}
 }
 
@@ -101,18 +107,6 @@
 	return float64(r.Total) > share*float64(m.limits.Process)
 }
 
-// release returns unused memory to the system. Where that does not help, because the memory is in use, the next time is later.
-func (m *Monitor) release() {
-	debug.FreeOSMemory()
-	ReleaseProgramPages()
-	resident, ok := ReadResident()
-	if ok && m.isOver(releaseShare, resident) {
-		m.releasePause = min(2*m.releasePause, maxReleasePause)
-	} else {
-		m.releasePause = minReleasePause
-	}
-}
-
 // report logs what holds the memory.
 func (m *Monitor) report(resident Resident, values map[string]uint64) {
 	attrs := []any{"resident", inKB(resident.Total), "highest", inKB(m.highest), "limit", inKB(m.limits.Process), "file", inKB(resident.File),
--- a/internal/memory/resident.go
+++ b/internal/memory/resident.go
@@ -8,6 +8,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 
 	"golang.org/x/sys/unix"
 )
@@ -40,24 +41,32 @@
 	dirty      bool // some of its pages differ from the file
 }
 
-// ReleaseProgramPages unmaps the pages of the program's own file that were mapped before, most of which only the start needs.
-// Those still in use are mapped again from the page cache at their next use. Mappings that may have been written to are left.
+// ReleaseProgramPages unmaps the pages of the program's own file that were mapped before. Those still in use are mapped again from
+// the page cache at their next use, and the kernel maps up to sixteen with each of them. Mappings that may have been written to are left.
 func ReleaseProgramPages() {
+	for _, m := range programMappings() {
+		_, _, _ = unix.Syscall(unix.SYS_MADVISE, m.start, m.end-m.start, unix.MADV_DONTNEED)
+	}
+}
+
+// programMappings returns the mappings of the program's own file that are never written to. They do not change while it runs.
+var programMappings = sync.OnceValue(func() (list []mapping) {
 	program, err := os.Readlink("/proc/self/exe")
 	if err != nil {
-		return
+		return nil
 	}
 	mappings, err := readMappings()
 	if err != nil {
 		slog.Debug("cannot read the mappings of this process", "err", err)
-		return
+		return nil
 	}
 	for _, m := range mappings {
 		if m.path == program && m.readOnly && !m.dirty {
-			_, _, _ = unix.Syscall(unix.SYS_MADVISE, m.start, m.end-m.start, unix.MADV_DONTNEED)
+			list = append(list, m)
 		}
 	}
-}
+	return list
+})
 
 func readMappings() (list []mapping, err error) {
 	raw, err := os.ReadFile("/proc/self/smaps")
