memory: requests beside many firms are answered in time at the smallest limit

Seen by callers: at 32 MB, beside requests of 90,000 firms at full speed, requests with 480 ms were answered after up to 2.7 s, and the resident set passed the limit (34.9 of 32.8 thousand KB).

Causes: connections to servers, dials included, were in no part of the memory (trial: 1,165 goroutines, stacks 8.7 MB where a limiter at rest has 1.3). And the Go runtime's soft limit was its part of the limit whatever the rest left: with 24 of 32 MB resident the runtime collected without a pause, 1,292 times in 9 s (trial).

Connections to servers have a quarter of what is over 24 MB, at 16 KB each. At small limits the soft limit follows the resident set five times a second, up to 85% of the limit. A usual command is parsed with one allocation for its elements in place of four.

--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -69,7 +69,7 @@
 	}
 	reducer.LimitCustomers(limits.Customers)
 	eventLoop := loop.New(reducer)
-	pool := upstream.New(cfg.settings, descriptors/2, upstream.Memory{ServerData: budgets.ServerData, Monitor: monitor}, eventLoop.Post, loop.Now)
+	pool := upstream.New(cfg.settings, min(descriptors/2, limits.ServerConnections), upstream.Memory{ServerData: budgets.ServerData, Monitor: monitor}, eventLoop.Post, loop.Now)
 	discoveryClient := discovery.New(cfg.Discovery, cfg.settings, pool, eventLoop.Post)
 	discoveryClient.LimitMemory(limits.List)
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/memory/limits.go
+++ b/internal/memory/limits.go
@@ -26,9 +26,17 @@
 	serverDataShare = 0.08 // incomplete answers of servers
 	customerShare   = 0.15 // records of customers
 	callShare       = 0.15 // gRPC calls in hand, of all services together
+	serverShare     = 0.25 // connections to servers, dials included
 	listShare       = 0.54 // the list of servers, beside which the others are seldom full; 3,200 servers have room at the smallest limit
 )
 
+const (
+	// serverConnectionBytes is what a connection to a server takes: its reader's or its dial's stack, and what belongs to it.
+	serverConnectionBytes = 16 << 10
+
+	minServerConnections = 64
+)
+
 // Limits says how many bytes each part of the program may hold.
 type Limits struct {
 	Process    int64 // the whole resident set
@@ -40,6 +48,8 @@
 	Customers  int64
 	Calls      int64
 	List       int64
+
+	ServerConnections int
 }
 
 // Divide divides a limit in MB; 0 stands for no limit.
@@ -60,6 +70,8 @@
 		Customers:  part(customerShare),
 		Calls:      part(callShare),
 		List:       part(listShare),
+
+		ServerConnections: max(minServerConnections, int(part(serverShare)/serverConnectionBytes)),
 	}
 }
 
--- a/internal/memory/monitor.go
+++ b/internal/memory/monitor.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	checkInterval     = time.Second
+	checkInterval     = 200 * time.Millisecond // where the Go runtime's limit follows the resident set
+	longCheckInterval = time.Second
 	reportInterval    = 10 * time.Second // between two log lines
 	reportedShare     = 0.75             // of the limit, from which on the resident set is logged
 	liveObjectsMetric = "/gc/heap/live:bytes"
@@ -40,6 +41,8 @@
 	collectedAt       time.Time
 	releasePause      time.Duration
 	highest           int64 // resident set
+	mostFile          int64 // mapped pages of files
+	goLimit           int64 // the Go runtime's soft limit
 	readAtCheck       int64 // readBytes at the last check
 	readAtRelease     int64 // and when unused memory was last returned
 }
@@ -47,7 +50,7 @@
 // NewMonitor sets the Go runtime's limit and returns a monitor that reports these budgets.
 func NewMonitor(limits Limits, budgets ...*Budget) *Monitor {
 	debug.SetMemoryLimit(limits.Go)
-	m := &Monitor{limits: limits, budgets: budgets, releasePause: minReleasePause}
+	m := &Monitor{limits: limits, goLimit: limits.Go, budgets: budgets, releasePause: minReleasePause}
 	for _, name := range []string{liveObjectsMetric, heapObjectsMetric, heapUnusedMetric, heapFreeMetric, releasedMetric, goTotalMetric, stacksMetric} {
 		m.samples = append(m.samples, metrics.Sample{Name: name})
 	}
@@ -66,7 +69,11 @@
 
 // Run checks the process's memory until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
-	tick := time.NewTicker(checkInterval)
+	interval := longCheckInterval
+	if m.mostGoLimit() > m.limits.Go {
+		interval = checkInterval
+	}
+	tick := time.NewTicker(interval)
 	defer tick.Stop()
 	for {
 		select {
@@ -86,6 +93,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.highest = max(m.highest, resident.Total)
+	m.adjustGoLimit(resident)
 	if m.isOver(reportedShare, resident) && now.Sub(m.reportedAt) >= reportInterval {
 		m.reportedAt = now
 		m.report(resident, m.read())
--- a/internal/memory/release_test.go
+++ b/internal/memory/release_test.go
@@ -29,3 +29,17 @@
 	m.readAtRelease = m.readBytes.Load()
 	require.False(t, m.releaseDue(released.Add(minReleasePause)), "nothing has been read since the last return")
 }
+
+// The soft limit of the Go runtime follows what the rest of the process leaves, between the runtime's part and its largest share.
+func TestGoLimitFollowsResidentSet(t *testing.T) {
+	t.Cleanup(func() { debug.SetMemoryLimit(math.MaxInt64) })
+	limits := Divide(minLimitMB)
+	m := NewMonitor(limits)
+	m.adjustGoLimit(Resident{Total: limits.Process, File: usualFileBytes})
+	require.Equal(t, limits.Go, m.goLimit)
+	m.adjustGoLimit(Resident{Total: 0, File: 0})
+	require.Greater(t, m.goLimit, limits.Go)
+	require.LessOrEqual(t, m.goLimit, int64(goShare*float64(limits.Process)))
+	m.adjustGoLimit(Resident{Total: limits.Process, File: usualFileBytes})
+	require.Equal(t, limits.Go, m.goLimit)
+}
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -12,6 +12,7 @@
 	MaxBulkBytes    = 64 << 10
 	maxMessageBytes = MaxBulkBytes + MaxBulkBytes/2 // bytes of a message: one value and its surroundings
 	maxArgs         = 64                            // elements of one array
+	usualArgs       = 8                             // elements for which room is made at once
 	maxLineBytes    = 4 << 10                       // of a line that ends with CRLF
 	maxDepth        = 4                             // nested arrays in a reply
 
@@ -327,6 +328,9 @@
 		r.Null = true
 		return r, nil
 	}
+	if n > 0 {
+		r.Elems = make([]Reply, 0, min(n, usualArgs))
+	}
 	for range n {
 		e, err := c.reply(depth - 1)
 		if err != nil {
