grpcserver: refusals that the library has not written hold their caller's reader back

Cause: a call that is turned away is in no budget, and its refusal stands in the library's queue until the connection's writer runs. A call that is reset no longer counted as unwritten, while the library writes each refusal nevertheless.

Refused calls count until their ends, or that of a later call, are written, reset or not. With more than 64 of them a connection is not read from for up to 2.4 s; other answers may wait for a window that the caller opens, so they hold it for 0.1 s as before.

--- a/cmd/bramblefall/flood_test.go
+++ b/cmd/bramblefall/flood_test.go
@@ -554,6 +554,22 @@
 	playFloods(t, firstFloodSeed, runs)
 }
 
+// Callers who wrote 900 whole calls at once, and as many again once all were turned away, took a limiter of 32 MB to 43, in what the
+// library kept of the answers.
+func TestCallersAtFullSpeedStayUnderMemoryLimit(t *testing.T) {
+	const atOnce = 900 // the front allows 1,024
+	var runs []floodRun
+	for name, attack := range map[string]func(context.Context, *floodEnvironment, net.Conn){
+		"calls with an empty message": sendCallsAtOnce(checkPath, atOnce), "calls that are reset": sendResetCalls(checkPath, atOnce),
+		"calls without time that are reset": sendResetCalls(checkPath, atOnce, [2]string{"grpc-timeout", "1n"}),
+	} {
+		f := flood{name: name, attackers: 300, attack: attack, setUp: withRateLimitFront,
+			network: func(e *floodEnvironment) (string, string) { return "tcp", e.limiter.grpcAddr }}
+		runs = append(runs, floodRun{flood: f, memoryMB: smallMemoryCapMB}, floodRun{flood: f.besideServers(largestList(t)), memoryMB: smallMemoryCapMB})
+	}
+	playFloods(t, firstFloodSeed, runs)
+}
+
 // Beside clients who send the largest commands and slow servers, most requests of 8 KiB were refused at the smallest limit.
 func TestRequestsAreServedBesideLargeCommands(t *testing.T) {
 	const name = "large commands, servers slow"
--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -24,6 +24,9 @@
 	maxUnwrittenAnswers = 4 // of calls that have ended, on one connection, from which on it is not read from
 	answersTimeout      = 100 * time.Millisecond
 	answersPause        = time.Millisecond
+	manyRefusals        = 64 // unwritten on one connection, from which on the wait is longer: they need no window of the caller
+	manyRefusalsTimeout = 2400 * time.Millisecond
+	manyRefusalsPause   = 5 * time.Millisecond
 
 	// deadlineExtension is how much longer than messageTimeout the rest of a frame may take, at a time, where that is due.
 	deadlineExtension = 100 * time.Millisecond
@@ -236,18 +239,32 @@
 // handled by now.
 func (c *gatedConn) awaitAnswersWritten() {
 	for began := time.Now(); !c.closed.Load(); {
-		if c.unwrittenAnswers() <= maxUnwrittenAnswers || time.Since(began) >= answersTimeout {
+		answers, refusals := c.unwrittenAnswers()
+		timeout, pause := answersTimeout, answersPause
+		if refusals > manyRefusals {
+			timeout, pause = manyRefusalsTimeout, manyRefusalsPause
+		}
+		if max(answers, refusals) <= maxUnwrittenAnswers || time.Since(began) >= timeout {
 			return
 		}
-		time.Sleep(answersPause)
+		time.Sleep(pause)
 	}
 }
 
 // unwrittenAnswers returns how many calls have ended without the end of their streams having been written.
-func (c *gatedConn) unwrittenAnswers() int {
+// Refusals count also where the caller has reset the call, since the library writes them nevertheless.
+func (c *gatedConn) unwrittenAnswers() (answers, refusals int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams.allHandled()
+	return len(c.streams.whole) - int(c.callsInProgress.Load()), len(c.streams.refused)
+}
+
+// noteBegun takes note that the library has begun the next call of the caller, or refused it.
+func (c *gatedConn) noteBegun(refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.streams.whole) - int(c.callsInProgress.Load())
+	c.streams.begun(refused)
 }
 
 func (c *gatedConn) awaitWritten() {
--- a/internal/grpcserver/frames.go
+++ b/internal/grpcserver/frames.go
@@ -70,6 +70,10 @@
 type openStreams struct {
 	whole  map[uint32]bool // by the stream's ID, whether all of its call has come
 	latest uint32          // that the caller has opened
+
+	inHeaders bool     // of the latest stream
+	unhandled []uint32 // IDs of streams whose headers the library may not have handled yet, in order
+	refused   []uint32 // IDs of streams whose calls were not begun and whose ends are not written, in order
 }
 
 // received takes note of a frame of the caller.
@@ -80,6 +84,11 @@
 		}
 		o.latest = f.StreamID
 		o.whole[f.StreamID] = false
+		o.inHeaders = true
+	}
+	if o.inHeaders && endsHeaders(f) {
+		o.inHeaders = false
+		o.unhandled = append(o.unhandled, f.StreamID)
 	}
 	if _, open := o.whole[f.StreamID]; open && endsStream(f) {
 		o.whole[f.StreamID] = true
@@ -93,6 +102,32 @@
 func (o *openStreams) sent(f http2.FrameHeader) {
 	if f.Type == http2.FrameRSTStream || endsStream(f) {
 		delete(o.whole, f.StreamID)
+		o.forgetRefused(f.StreamID)
+	}
+}
+
+// begun takes note that the library has begun the next call, or refused it.
+func (o *openStreams) begun(refused bool) {
+	if len(o.unhandled) == 0 {
+		return
+	}
+	if refused {
+		o.refused = append(o.refused, o.unhandled[0])
+	}
+	o.unhandled = o.unhandled[1:]
+}
+
+// allHandled takes note that the library has handled all that has come: it has refused what was not begun.
+func (o *openStreams) allHandled() {
+	o.refused = append(o.refused, o.unhandled...)
+	o.unhandled = o.unhandled[:0]
+}
+
+// forgetRefused drops the refused calls whose ends have been written with that of a stream: the library writes refusals in the order
+// in which it has made them, and before the answers of calls that were begun later.
+func (o *openStreams) forgetRefused(stream uint32) {
+	for len(o.refused) > 0 && o.refused[0] <= stream {
+		o.refused = o.refused[1:]
 	}
 }
 
@@ -106,6 +141,11 @@
 	return n
 }
 
+// endsHeaders reports whether a frame is the last of a header block.
+func endsHeaders(f http2.FrameHeader) bool {
+	return f.Type == http2.FrameHeaders && f.Flags.Has(http2.FlagHeadersEndHeaders) || f.Type == http2.FrameContinuation && f.Flags.Has(http2.FlagContinuationEndHeaders)
+}
+
 // endsStream reports whether a frame is the last that its sender sends on its stream.
 func endsStream(f http2.FrameHeader) bool {
 	return f.Type == http2.FrameData && f.Flags.Has(http2.FlagDataEndStream) || f.Type == http2.FrameHeaders && f.Flags.Has(http2.FlagHeadersEndStream)
--- a/internal/grpcserver/frames_test.go
+++ b/internal/grpcserver/frames_test.go
@@ -79,3 +79,40 @@
 		require.Empty(t, o.whole)
 	}
 }
+
+// A refused call counts until the end of its stream, or that of a later one, has been written, also where the caller has reset it.
+func TestRefusedCallsCountUntilTheirEndsAreWritten(t *testing.T) {
+	t.Parallel()
+	var o openStreams
+	headers := func(id uint32) http2.FrameHeader {
+		return http2.FrameHeader{Type: http2.FrameHeaders, Flags: http2.FlagHeadersEndHeaders, StreamID: id}
+	}
+	end := func(id uint32) http2.FrameHeader {
+		return http2.FrameHeader{Type: http2.FrameHeaders, Flags: http2.FlagHeadersEndHeaders | http2.FlagHeadersEndStream, StreamID: id}
+	}
+	for _, id := range []uint32{1, 3, 5, 7} {
+		o.received(headers(id))
+	}
+	for _, refused := range []bool{true, false, true, true} {
+		o.begun(refused)
+	}
+	require.Equal(t, []uint32{1, 5, 7}, o.refused)
+	o.received(http2.FrameHeader{Type: http2.FrameRSTStream, StreamID: 5})
+	require.Equal(t, []uint32{1, 5, 7}, o.refused)
+	o.sent(end(1))
+	require.Equal(t, []uint32{5, 7}, o.refused)
+	o.sent(end(7))
+	require.Empty(t, o.refused)
+
+	o.received(headers(9)) // which the library refuses without asking
+	o.allHandled()
+	require.Equal(t, []uint32{9}, o.refused)
+	o.received(http2.FrameHeader{Type: http2.FrameHeaders, StreamID: 11})
+	o.allHandled()
+	o.received(http2.FrameHeader{Type: http2.FrameContinuation, Flags: http2.FlagContinuationEndHeaders, StreamID: 11})
+	o.begun(false)
+	o.allHandled()
+	require.Equal(t, []uint32{9}, o.refused)
+	o.sent(end(11))
+	require.Empty(t, o.refused)
+}
--- a/internal/grpcserver/server.go
+++ b/internal/grpcserver/server.go
@@ -71,8 +71,10 @@
 	if c == nil {
 		return nil, status.Error(codes.Internal, "no connection")
 	}
-	if !a.limits.Calls.Fits(c.callsInHand.Used(), size) {
-		return nil, status.Error(codes.ResourceExhausted, "too many calls are open")
+	err := a.refusal(ctx, c)
+	c.noteBegun(err != nil)
+	if err != nil {
+		return nil, err
 	}
 	a.limits.Calls.Add(size)
 	c.callsInHand.Add(size)
@@ -92,6 +94,18 @@
 	return context.WithValue(ctx, messageTimerKey{}, timer), nil
 }
 
+// refusal returns why a call must not begin; nil if it may.
+func (a *admission) refusal(ctx context.Context, c *gatedConn) error {
+	switch {
+	case ctx.Err() != nil: // the library would answer it without telling
+		return status.Error(codes.DeadlineExceeded, context.DeadlineExceeded.Error())
+	case !a.limits.Calls.Fits(c.callsInHand.Used(), int64(a.limits.CallBytes)):
+		return status.Error(codes.ResourceExhausted, "too many calls are open")
+	default:
+		return nil
+	}
+}
+
 // handleUnary handles a call whose message has come. It reports a panic before the process ends: the library starts the calls'
 // goroutines, so crash.Go does not cover them.
 func handleUnary(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
