grpcserver: the timer of a call without a message ends with the call

Cause: the timer that bounds the wait for a call's message holds the call and its connection, and was stopped only where a message came.

--- a/cmd/bramblefall/idle_callers_test.go
+++ b/cmd/bramblefall/idle_callers_test.go
@@ -219,6 +219,18 @@
 	}
 }
 
+// Callers who came again as soon as they were displaced came faster than the library ended the connections of those displaced: 32
+// places held the memory of hundreds, and the limit was passed.
+func TestRushOfCallersStaysUnderMemoryLimit(t *testing.T) {
+	t.Parallel()
+	const callers, reconnectWait, duration = 1000, 2 * time.Millisecond, 3 * time.Second
+	l := start(t, fixture{rateLimitFile: rateLimitFile(t), memoryMB: smallMemoryCapMB, maxDescriptors: 1024})
+	keepCallers(t, "tcp", l.grpcAddr, callers, reconnectWait, idleCallerKinds()["the headers of a call"])
+	time.Sleep(duration)
+	require.Less(t, l.memoryMB("VmHWM"), smallMemoryCapMB)
+	require.Greater(t, l.memoryMB("VmHWM"), 0)
+}
+
 // askUntilVerdict makes a call again after one that was refused for want of room, until one is not or ctx ends.
 func askUntilVerdict(ctx context.Context, client rlsv3.RateLimitServiceClient) (*rlsv3.RateLimitResponse, error) {
 	for {
--- a/internal/grpcserver/listener_test.go
+++ b/internal/grpcserver/listener_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"testing"
 	"time"
+	"weak"
 
 	rlsv3 "github.com/envoyproxy/go-control-plane/envoy/service/ratelimit/v3"
 	"github.com/stretchr/testify/assert"
@@ -87,6 +88,39 @@
 	require.NoError(t, call(ctx, t, addr, &rlsv3.RateLimitRequest{}))
 }
 
+// The timer of a call whose message never came held the call and its connection for 2.4 s after both had ended.
+func TestEndedConnectionIsFreedAtOnce(t *testing.T) {
+	t.Parallel()
+	const calls, within = 8, time.Second
+	server := New(Limits{Calls: memory.NewBudget("calls", 1<<20), CallBytes: 4 << 10, Streams: calls})
+	rlsv3.RegisterRateLimitServiceServer(server, &heldService{})
+	l, err := loopback.Listen()
+	require.NoError(t, err)
+	gated := Listen(l, calls, nil)
+	go func() { _ = server.Serve(gated) }()
+	t.Cleanup(server.Stop)
+	conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	require.NoError(t, err)
+	method := rlsv3.RateLimitService_ShouldRateLimit_FullMethodName
+	for range calls {
+		_, err := conn.NewStream(t.Context(), &grpc.StreamDesc{ClientStreams: true}, method)
+		require.NoError(t, err)
+	}
+	var held weak.Pointer[gatedConn]
+	require.Eventually(t, func() bool {
+		for _, c := range gated.list() {
+			held = weak.Make(c)
+			return c.callsInProgress.Load() == calls
+		}
+		return false
+	}, testTimeout, time.Millisecond)
+	require.NoError(t, conn.Close())
+	require.Eventually(t, func() bool {
+		runtime.GC()
+		return held.Value() == nil
+	}, within, 10*time.Millisecond)
+}
+
 // pressedMonitor returns a monitor that finds memory short until the test ends.
 func pressedMonitor(t *testing.T) *memory.Monitor {
 	monitor := memory.NewMonitor(memory.Limits{Process: 1 << 40, Go: 1})
--- a/internal/grpcserver/server.go
+++ b/internal/grpcserver/server.go
@@ -91,6 +91,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := crash.AfterFunc(messageTimeout, cancel)
+	context.AfterFunc(ctx, func() { timer.Stop() }) // the timer holds the call, and with it the connection
 	return context.WithValue(ctx, messageTimerKey{}, timer), nil
 }
 
