The gRPC front and the admin service stop once those in the kernel's queue are served

Cause: the library's stop closes the listener, and what was accepted but not yet served, whatever it has sent.

Both now wait until no connection waits and all accepted ones are served: the front for its grace at the most, the admin service for 30 ms.

TestPlannedRestartAnswersCallsInAcceptQueue failed before and passes. The admin service's end has no test of its own.

--- a/cmd/bramblefall/restart_test.go
+++ b/cmd/bramblefall/restart_test.go
@@ -226,3 +226,28 @@
 	assert.Equal(t, "v", c.readReply())
 	l.waitForCleanExit()
 }
+
+// Callers whose connections waited in the kernel's queue when the gRPC front stopped were reset with their calls. The process is
+// stopped during a planned restart until the front is due to stop; then it serves those that have connected.
+func TestPlannedRestartAnswersCallsInAcceptQueue(t *testing.T) {
+	t.Parallel()
+	const callers = 20
+	l := start(t, fixture{rateLimitFile: rateLimitFile(t), maxDescriptors: 1024})
+	l.terminate()
+	l.waitForLog("msg=draining")
+	var queued [callers]*rawCaller
+	l.whileStopped(time.Second, func() {
+		for k := range queued {
+			c, err := dialRaw("tcp", l.grpcAddr)
+			require.NoError(t, err)
+			require.NoError(t, c.call(checkPath, rateLimitRequest(firmDescriptor("a1"))))
+			queued[k] = c
+		}
+	})
+	for k, c := range queued {
+		require.NoError(t, c.conn.SetReadDeadline(time.Now().Add(callDeadline)))
+		assert.NoError(t, c.readUntil(streamEnded), "caller %d", k)
+		_ = c.conn.Close()
+	}
+	l.waitForCleanExit()
+}
--- a/cmd/bramblefall/serve.go
+++ b/cmd/bramblefall/serve.go
@@ -33,6 +33,7 @@
 	maxDrainDeadline  = 3 * time.Second        // longer deadlines are taken as this at a planned restart
 	finalAnswerDelay  = 400 * time.Millisecond // after the longest deadline; SIGKILL may follow 300 ms later
 	finalFlushTimeout = 250 * time.Millisecond // for clients to read the final answers; most are written immediately
+	adminDrainTimeout = 30 * time.Millisecond  // for the admin service to answer what has come by then
 )
 
 func serve(cfg config, file operator.File, o serveOptions, received signals) error {
@@ -114,7 +115,7 @@
 		if err := operators.Listen(file.Admin.Socket); err != nil {
 			return err
 		}
-		defer operators.Stop()
+		defer operators.Drain(adminDrainTimeout)
 		slog.Info("serving operators", "socket", file.Admin.Socket)
 	}
 	crash.Go(func() { front.Run(ctx) })
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -42,9 +42,10 @@
 // Service is the admin service.
 type Service struct {
 	adminpb.UnimplementedAdminServer
-	reducer EventPoster
-	server  *grpc.Server
-	monitor *memory.Monitor
+	reducer  EventPoster
+	server   *grpc.Server
+	listener *grpcserver.Listener
+	monitor  *memory.Monitor
 }
 
 // messageShare is the part of the memory for calls that one message may take.
@@ -87,15 +88,22 @@
 		_ = l.Close()
 		return fmt.Errorf("admin socket: %w", err)
 	}
+	s.listener = grpcserver.Listen(socket.RetryAccept(l), Descriptors, s.monitor)
 	crash.Go(func() {
-		_ = s.server.Serve(grpcserver.Listen(socket.RetryAccept(l), Descriptors, s.monitor))
+		_ = s.server.Serve(s.listener)
 		_ = os.Remove(path)
 	})
 	return nil
 }
 
-// Stop closes the socket and ends all calls.
-func (s *Service) Stop() { s.server.Stop() }
+// Drain ends the service at a planned restart, within the given time: calls in progress are answered, and so are those of callers who
+// have connected already.
+func (s *Service) Drain(timeout time.Duration) {
+	stop := crash.AfterFunc(timeout, s.server.Stop)
+	defer stop.Stop()
+	s.listener.AwaitAccepted(timeout)
+	s.server.GracefulStop()
+}
 
 // query posts a command to the reducer and waits up to replyTimeout for the answer.
 func (s *Service) query(ctx context.Context, command any) (core.Reply, error) {
--- a/internal/grpcserver/listener.go
+++ b/internal/grpcserver/listener.go
@@ -17,6 +17,7 @@
 	newConnectionGrace  = time.Second            // in which a new connection is expected to bring its first call
 	evictionTimeout     = 100 * time.Millisecond // in which the server ends what it holds for a connection that was closed here
 	rejectedLogInterval = time.Second
+	acceptPollInterval  = time.Millisecond
 )
 
 // Listen wraps a listener whose connections a server made by New serves. It holds at most maxConnections. A further one displaces
@@ -159,6 +160,22 @@
 	return false
 }
 
+// AwaitAccepted blocks, at most for the given time, until no connection waits in the kernel's queue and the server serves all that
+// were accepted: a server that stops closes the others, whatever they have sent. It is called before the server is stopped.
+func (l *Listener) AwaitAccepted(timeout time.Duration) {
+	for until := time.Now().Add(timeout); l.hasUnserved() && time.Now().Before(until); {
+		time.Sleep(acceptPollInterval)
+	}
+}
+
+// hasUnserved reports whether a connection waits to be accepted, or to be served.
+func (l *Listener) hasUnserved() bool {
+	if socket.HasPending(l.Listener) {
+		return true
+	}
+	return slices.ContainsFunc(l.list(), func(c *gatedConn) bool { return !c.served.Load() && !c.closed.Load() })
+}
+
 // noteRejected logs now and then how many connections were rejected.
 func (l *Listener) noteRejected() {
 	l.rejected++
--- a/internal/ratelimit/front.go
+++ b/internal/ratelimit/front.go
@@ -71,6 +71,7 @@
 	maxConnections int // of callers
 	memory         Memory
 	server         *grpc.Server
+	listener       *grpcserver.Listener
 	health         *health.Server // proxies query it before they send calls here
 }
 
@@ -104,17 +105,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for rate limit calls: %w", err)
 	}
-	crash.Go(func() {
-		_ = f.server.Serve(grpcserver.Listen(socket.RetryAccept(l), f.maxConnections, f.memory.Monitor))
-	})
+	f.listener = grpcserver.Listen(socket.RetryAccept(l), f.maxConnections, f.memory.Monitor)
+	crash.Go(func() { _ = f.server.Serve(f.listener) })
 	return l.Addr(), nil
 }
 
 // Drain ends the front at a planned restart. Health checks fail at once, but callers notice late, so calls are served for
-// drainGrace longer. Then no new call is accepted, and Drain waits for those in progress.
+// drainGrace longer, and so are those of callers who have connected by then. Then no new call is accepted, and Drain waits for those
+// in progress.
 func (f *Front) Drain() {
 	f.health.Shutdown()
 	time.Sleep(drainGrace)
+	f.listener.AwaitAccepted(drainGrace)
 	f.server.GracefulStop()
 }
 
--- a/internal/socket/listener.go
+++ b/internal/socket/listener.go
@@ -55,8 +55,23 @@
 }
 
 // HasPending reports whether a connection is waiting to be accepted.
-func (l *Listener) HasPending() (pending bool) {
-	_ = l.raw.Control(func(fd uintptr) {
+func (l *Listener) HasPending() bool { return hasPending(l.raw) }
+
+// HasPending reports whether a connection is waiting to be accepted by a TCP or Unix listener, or by one that RetryAccept returned.
+func HasPending(l net.Listener) bool {
+	if retrying, ok := l.(*retryListener); ok {
+		l = retrying.Listener
+	}
+	c, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	return err == nil && hasPending(raw)
+}
+
+func hasPending(raw syscall.RawConn) (pending bool) {
+	_ = raw.Control(func(fd uintptr) {
 		events, err := pollNow(int(fd), unix.POLLIN)
 		pending = err == nil && events&unix.POLLIN != 0
 	})
