plans: a version that has ended never comes back into force, whatever is read again

Cause: the book knows the last 32 ended versions and takes older ones of the file for new; whatever is due comes into force, whatever its instant.

A version that precedes the one in force has ended: a file may go on listing it, the admin service is refused. Of versions that take effect on receipt the highest number that has left the history is kept, in the state as well. A change on receipt takes effect although the wall clock has stepped back.

TestVersionInForceHasTheLatestInstant (random files, orders, restarts), TestVersionOnReceiptTakesEffectOnce, ...AfterAStepBack and, on the real program, TestFileReadAgainBringsNoEndedVersionBack failed before and pass.

--- a/cmd/bramblefall/plans_test.go
+++ b/cmd/bramblefall/plans_test.go
@@ -117,6 +117,30 @@
 	require.Regexp(t, `coffee +b4d65521 +revoked`, out)
 }
 
+// An operators' file with more past versions than the book remembers brought back one that had ended long ago: with SIGHUP, and
+// with a restart.
+func TestFileReadAgainBringsNoEndedVersionBack(t *testing.T) {
+	const versions = 40
+	dir := t.TempDir()
+	tiers := `tier(name = "regular", rate = 100 + n, burst = 50), tier(name = "full", rate = 5, burst = 10)`
+	effective := `time("2026-01-01T00:" + ("0" + str(n))[-2:] + ":00Z")`
+	list := fmt.Sprintf("plans = [plan(number = n, effective = %s, tiers = [%s]) for n in range(1, %d)]", effective, tiers, versions+1)
+	l, socket, file := startWithAdmin(t, dir, list)
+	inForce := func() string {
+		out, _ := runCLI(t, 0, "plans", "list", "--socket", socket)
+		return out
+	}
+	require.Regexp(t, `40 +in force`, inForce())
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	l.reloadOperatorFile(file, string(text), configReloaded)
+	require.Regexp(t, `40 +in force`, inForce())
+	l.terminate()
+	await(t, l.exited, "the limiter's end")
+	_, socket, _ = startWithAdmin(t, dir, list)
+	require.Regexp(t, `40 +in force`, inForce())
+}
+
 func TestDamagedStateFileIsSetAsideAndLogged(t *testing.T) {
 	for name, damage := range map[string]func([]byte) []byte{
 		"a flipped bit": func(b []byte) []byte { b[len(b)/2] ^= 4; return b },
--- a/internal/plans/book.go
+++ b/internal/plans/book.go
@@ -74,6 +74,7 @@
 	tiers         []tierEntry    // the tiers in force, by number
 	firmOverrides map[uint64]override
 	highestNumber uint64
+	highestPassed uint64 // highest number of the versions that have ended and left the history
 
 	platformTiers []logic.Plan // the platform's tiers as last read
 
@@ -173,7 +174,7 @@
 // Advance brings the due versions into force and reports whether the plans changed. Of several versions with the same
 // instant, the one with the highest number is applied last and so stays in force.
 func (b *Book) Advance(now time.Duration) (changed bool) {
-	for len(b.pending) > 0 && b.pending[0].Effective <= now {
+	for len(b.pending) > 0 && b.pending[0].Effective <= b.onReceipt(now) {
 		v := b.pending[0]
 		b.pending = slices.Clone(b.pending[1:])
 		b.appendHistory(EndedVersion{Version: b.current, Began: b.current.Effective, Until: now})
@@ -185,8 +186,9 @@
 
 func (b *Book) appendHistory(e EndedVersion) {
 	b.history = append(b.history, e)
-	if over := len(b.history) - MaxHistory; over > 0 {
-		b.history = slices.Clone(b.history[over:])
+	for len(b.history) > MaxHistory {
+		b.highestPassed = max(b.highestPassed, b.history[0].Number)
+		b.history = slices.Clone(b.history[1:])
 	}
 }
 
@@ -227,7 +229,7 @@
 	if slices.Equal(tiers, b.platformTiers) {
 		return nil
 	}
-	v := Version{Effective: now, Source: Platform, Note: "the platform's settings, read again", Tiers: tiers}
+	v := Version{Effective: b.onReceipt(now), Source: Platform, Note: "the platform's settings, read again", Tiers: tiers}
 	problems := append(b.Check(v), b.checkRemovedTiers(v, inUse)...)
 	if len(problems) > 0 {
 		return problems
@@ -239,7 +241,8 @@
 
 // Propose adds a version. Proposing the same version again changes nothing; a number that has been passed, or that
 // belongs to another version, is rejected. inUse returns how many firms known to this limiter use a tier; nil means
-// not known. A version that is already due takes effect at the next Advance.
+// not known. A version that is already due takes effect at the next Advance, unless it precedes the one in force: then it has
+// ended, and a file may go on listing it.
 func (b *Book) Propose(v Version, now time.Duration, inUse func(tier string) int) error {
 	if known, ok := b.findVersion(v.Number); ok {
 		if sameVersion(known, v) {
@@ -254,30 +257,56 @@
 	if v.Number <= b.highestNumber && v.Source == Admin { // a file lists all its versions each time, in any order
 		problems = append(problems, Problem{"number", fmt.Sprintf("%d is not above %d, the newest", v.Number, b.highestNumber)})
 	}
+	ended := b.hasEnded(v)
 	if v.Effective == 0 {
-		v.Effective = now
+		v.Effective = b.onReceipt(now)
+	}
+	if ended && v.Source == Admin {
+		problems = append(problems, Problem{"effective", fmt.Sprintf("lies before that of version %d, which is in force", b.current.Number)})
 	}
 	if now-v.Effective > b.limits.MaxPastEffective && v.Source == Admin {
 		problems = append(problems, Problem{"effective", fmt.Sprintf("lies %s in the past, %s at most",
 			(now - v.Effective).Round(time.Millisecond), b.limits.MaxPastEffective)})
 	}
-	if len(b.pending) >= MaxPending {
+	if !ended && len(b.pending) >= MaxPending {
 		problems = append(problems, Problem{"number", fmt.Sprintf("%d versions to come, no more are taken", MaxPending)})
 	}
-	problems = append(problems, b.checkRemovedTiers(v, inUse)...)
+	if !ended {
+		problems = append(problems, b.checkRemovedTiers(v, inUse)...)
+	}
 	if len(problems) > 0 {
 		return problems
 	}
+	if ended {
+		b.highestNumber = max(b.highestNumber, v.Number)
+		return nil
+	}
 	b.insert(v)
 	return nil
 }
 
+// hasEnded reports whether a version that the book does not know has ended: it precedes the one in force. One that takes effect on
+// receipt was received before if later ones have left the history.
+func (b *Book) hasEnded(v Version) bool {
+	if v.Effective == 0 {
+		return v.Number <= b.highestPassed
+	}
+	return comparePrecedence(v, b.current) < 0
+}
+
+// onReceipt returns the instant of a version that takes effect on receipt: now, or just after the version in force where the wall
+// clock has stepped back behind it.
+func (b *Book) onReceipt(now time.Duration) time.Duration { return max(now, b.current.Effective+1) }
+
 func (b *Book) insert(v Version) {
 	b.highestNumber = max(b.highestNumber, v.Number)
 	b.pending = append(slices.Clone(b.pending), v)
-	slices.SortStableFunc(b.pending, func(a, b Version) int {
-		return cmp.Or(cmp.Compare(a.Effective, b.Effective), cmp.Compare(a.Number, b.Number))
-	})
+	slices.SortStableFunc(b.pending, comparePrecedence)
+}
+
+// comparePrecedence orders versions by instant, then by number. The last of those that are due is in force.
+func comparePrecedence(a, b Version) int {
+	return cmp.Or(cmp.Compare(a.Effective, b.Effective), cmp.Compare(a.Number, b.Number))
 }
 
 // Withdraw removes a version before it comes into force.
--- a/internal/plans/book_test.go
+++ b/internal/plans/book_test.go
@@ -175,3 +175,131 @@
 		})
 	})
 }
+
+// bookModel says which version must be in force: that with the latest instant that is not in the future.
+type bookModel struct {
+	effective map[uint64]time.Duration // by number, of all versions received and not withdrawn
+	platform  time.Duration            // when the platform's plans last changed
+}
+
+func (m *bookModel) inForce(now time.Duration) (number uint64, latest time.Duration) {
+	latest = m.platform
+	for n, at := range m.effective {
+		if at <= now && (at > latest || at == latest && n > number) {
+			number, latest = n, at
+		}
+	}
+	return number, latest
+}
+
+// A file of more past versions than the book remembers, read again, brought an old one back into force. Checks that whatever is
+// read, in whatever order and however often, and over restarts, the version in force has the latest instant that is not in the future.
+func TestVersionInForceHasTheLatestInstant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const versions = 60
+		instants := rapid.SliceOfN(rapid.IntRange(-400, 200), versions, versions).Draw(t, "instants")
+		version := func(n uint64) Version {
+			tiers := []logic.Plan{tier("associate", float64(n)), tier("full", 10)}
+			return Version{Number: n, Effective: start + time.Duration(instants[n-1])*time.Second, Tiers: tiers}
+		}
+		now := start
+		m := &bookModel{effective: map[uint64]time.Duration{}}
+		b := New(platform(), DefaultLimits)
+		var listed []Version
+		reread := func(list []Version) {
+			if b.Replace(File, list, nil, now, nil) != nil {
+				return
+			}
+			for _, v := range listed {
+				if v.Effective > now && !slices.ContainsFunc(list, func(l Version) bool { return l.Number == v.Number }) {
+					delete(m.effective, v.Number) // withdrawn
+				}
+			}
+			for _, v := range list {
+				m.effective[v.Number] = v.Effective
+			}
+			listed = list
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"longer file": func(t *rapid.T) {
+				list := slices.Clone(listed)
+				for range rapid.IntRange(1, 40).Draw(t, "more") {
+					if n := uint64(len(list) + 1); n <= versions {
+						list = append(list, version(n))
+					}
+				}
+				reread(list)
+			},
+			"same file, other order": func(t *rapid.T) {
+				list := slices.Clone(listed)
+				if len(list) > 1 {
+					list = rapid.Permutation(list).Draw(t, "order")
+				}
+				reread(list)
+			},
+			"platform's file": func(t *rapid.T) {
+				rate := float64(rapid.IntRange(1, 1000).Draw(t, "rate"))
+				tiers := []logic.Plan{tier("associate", rate), tier("full", 10)}
+				if slices.Equal(tiers, b.platformTiers) || b.UpdatePlatform(tiers, now, nil) != nil {
+					return
+				}
+				_, latest := m.inForce(now)
+				m.platform = max(now, latest+1) // received after a version of the same instant
+			},
+			"restart with the state directory": func(t *rapid.T) {
+				raw, err := json.Marshal(b.Snapshot())
+				require.NoError(t, err)
+				var s Snapshot
+				require.NoError(t, json.Unmarshal(raw, &s))
+				b = New(b.platformTiers, DefaultLimits)
+				b.Restore(s)
+				reread(listed)
+			},
+			"time": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 60).Draw(t, "s")) * time.Second },
+			"": func(t *rapid.T) {
+				b.Advance(now)
+				number, _ := m.inForce(now)
+				require.Equal(t, number, b.Current().Number)
+			},
+		})
+	})
+}
+
+// Versions that take effect on receipt have no instant that would show that they have ended long ago.
+func TestVersionOnReceiptTakesEffectOnce(t *testing.T) {
+	b := New(platform(), DefaultLimits)
+	var list []Version
+	for n := range uint64(2 * MaxHistory) {
+		list = append(list, Version{Number: n + 1, Tiers: []logic.Plan{tier("associate", float64(n+1)), tier("full", 10)}})
+		at := start + time.Duration(n)*time.Minute
+		require.NoError(t, b.Replace(File, list, nil, at, nil))
+		b.Advance(at)
+		require.Equal(t, n+1, b.Current().Number)
+	}
+	now := start + time.Hour*24
+	require.NoError(t, b.Replace(File, list, nil, now, nil))
+	b.Advance(now)
+	require.Equal(t, uint64(2*MaxHistory), b.Current().Number)
+	s := b.Snapshot()
+	b = New(platform(), DefaultLimits)
+	b.Restore(s)
+	require.NoError(t, b.Replace(File, list, nil, now, nil))
+	b.Advance(now)
+	require.Equal(t, uint64(2*MaxHistory), b.Current().Number)
+}
+
+// A change on receipt takes effect at once, even where the wall clock has stepped back behind the version in force.
+func TestVersionOnReceiptTakesEffectAfterAStepBack(t *testing.T) {
+	b := New(platform(), DefaultLimits)
+	require.NoError(t, b.Propose(Version{Number: 1, Effective: start, Source: Admin, Tiers: platform()}, start, nil))
+	require.True(t, b.Advance(start))
+	back := start - 3*time.Minute
+	require.NoError(t, b.Propose(Version{Number: 2, Source: Admin, Tiers: platform()}, back, nil))
+	require.True(t, b.Advance(back))
+	require.Equal(t, uint64(2), b.Current().Number)
+	require.NoError(t, b.UpdatePlatform([]logic.Plan{tier("associate", 2), tier("full", 10)}, back, nil))
+	require.True(t, b.Advance(back))
+	require.Equal(t, Platform, b.Current().Source)
+	err := b.Propose(Version{Number: 3, Effective: back + time.Second, Source: Admin, Tiers: platform()}, back, nil)
+	require.ErrorContains(t, err, "effective: lies before", "a version for an instant that others follow is not taken in silence")
+}
--- a/internal/plans/reservation.go
+++ b/internal/plans/reservation.go
@@ -162,15 +162,17 @@
 	Pending      []Version      `json:"pending"`
 	History      []EndedVersion `json:"history"`
 	Reservations []Reservation  `json:"reservations"`
+	Passed       uint64         `json:"passed,omitempty"` // highest number of the ended versions that History no longer has
 }
 
 // Snapshot returns what must survive a restart.
 func (b *Book) Snapshot() Snapshot {
-	return Snapshot{b.current, b.Pending(), b.History(), b.Reservations()}
+	return Snapshot{b.current, b.Pending(), b.History(), b.Reservations(), b.highestPassed}
 }
 
 // Restore adds the versions and reservations of a snapshot to a new book that holds the platform's tiers. A current
-// version that came from the platform is not restored: the platform's present configuration takes precedence.
+// version that came from the platform is not restored: the platform's present configuration takes precedence. It keeps the instant,
+// so that no version that had ended before comes back.
 func (b *Book) Restore(s Snapshot) {
 	for _, v := range append([]Version{s.Current}, s.Pending...) {
 		b.highestNumber = max(b.highestNumber, v.Number)
@@ -178,10 +180,11 @@
 			b.tierNumber(t.Name)
 		}
 	}
-	b.history, b.pending = s.History, s.Pending
+	b.history, b.pending, b.highestPassed = s.History, s.Pending, s.Passed
 	if s.Current.Source != Platform {
 		b.activate(s.Current)
 	}
+	b.current.Effective = s.Current.Effective
 	for _, r := range s.Reservations {
 		b.reservations[r.ID] = r
 	}
