discovery: answers that begin up to 2 s late are heard

Cause: a call whose answer does not begin within half of the grace is made again, and only the last such call was kept beside the next, so none lived longer than some 0.65 s.

The first call without an answer is kept as well, for 2.5 s; the watch whose answer begins first is used. When calls are made is unchanged.

TestDiscoveryThatAnswersLateIsHeard (0.6, 1 and 2 s): 1 and 2 s failed before, all pass; TestFirstUnansweredWatchIsKeptUntilAnswersAreLate.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -219,6 +219,8 @@
 				if accepted {
 					c.markSynced()
 				}
+			case answerBegun:
+				cancelWatches(f.noteAnswer(event.watch)...)
 			case watchStalled:
 				var other int
 				if other, due = f.noteStall(time.Since(start), event.watch, event.midMessage); due {
--- a/internal/discovery/follow.go
+++ b/internal/discovery/follow.go
@@ -34,6 +34,7 @@
 	stableAfter           = 2 * time.Second // a watch that has brought a message and lasts longer sets follower.failures to 0
 	rejectedListDelay     = time.Second     // a rejected list is requested again after half of this at least, all of it with the longest jitter, and not before the retry interval is over
 	maxHeaderTimeout      = time.Second
+	maxAnswerDelay        = keepaliveTimeout // by which the first of several unanswered watches is answered, unless it is lost
 	minStallTimeout       = 50 * time.Millisecond
 	extendedStallTimeout  = 500 * time.Millisecond // within a message, after stallsBeforeExtension watches in a row that stalled there
 	stallsBeforeExtension = 8
@@ -85,14 +86,15 @@
 	return max(t.stallTimeout(), extendedStallTimeout)
 }
 
-// follower decides when to start a watch and which of at most three watches to use. It performs no I/O and reads no clock.
+// follower decides when to start a watch and which of at most four watches to use. It performs no I/O and reads no clock.
 // Watches are numbered from 1; 0 stands for none.
 type follower struct {
 	timing
 	newest           int           // the watch that was started last
 	current          int           // the watch in use; 0: none, and the next is due
 	idle             int           // an earlier watch that fell silent between two messages and may resume; 0: none
-	unanswered       int           // the last watch without any message: its answer may arrive once discovery is back; 0: none
+	unanswered       unanswered    // the last watch without any message: its answer may arrive once discovery is back
+	firstUnanswered  unanswered    // the first of them: its answer may be slow to begin, as those of the later ones would be
 	lastUnanswered   bool          // the watch given up last had received neither a message nor part of one, and was still open
 	receivedMessage  bool          // current has received a complete message
 	lastReceivedData bool          // the watch given up last had received a message or part of one
@@ -104,6 +106,12 @@
 	reloadDue        time.Duration // reloadMargin before the list counts as received after a reload; 0: there was no reload
 }
 
+// unanswered is a watch that is kept although its answer has not begun within the timeout. The zero value stands for none.
+type unanswered struct {
+	watch     int
+	startedAt time.Duration
+}
+
 // noteReload records a reload. It reports whether to start a watch at once.
 func (f *follower) noteReload(at time.Duration) bool {
 	f.reloadDue = at + reloadDeadline - reloadMargin
@@ -119,29 +127,73 @@
 
 // noteMessage records a complete message. It reports whether to use it, and which watches are superseded.
 func (f *follower) noteMessage(watch int) (accepted bool, superseded []int) {
-	if watch == 0 || watch != f.current && watch != f.idle && watch != f.unanswered {
+	if watch == 0 || watch != f.current && watch != f.idle && !f.isUnanswered(watch) {
 		return false, nil
 	}
-	for _, other := range []int{f.current, f.idle, f.unanswered} {
+	superseded = f.useAlone(watch)
+	f.receivedMessage, f.lastUnanswered, f.stalls = true, false, 0
+	return true, superseded
+}
+
+// noteAnswer records that the answer to a watch has begun. If that was awaited no longer, the watch becomes the current one, since
+// the answers to those that were started after it are as slow. noteAnswer returns the watches that it supersedes.
+func (f *follower) noteAnswer(watch int) (superseded []int) {
+	if !f.isUnanswered(watch) {
+		return nil
+	}
+	superseded = f.useAlone(watch)
+	f.receivedMessage, f.lastUnanswered = false, false
+	return superseded
+}
+
+// useAlone makes a watch the only one, and returns the others.
+func (f *follower) useAlone(watch int) (others []int) {
+	for _, other := range []int{f.current, f.idle, f.unanswered.watch, f.firstUnanswered.watch} {
 		if other != 0 && other != watch {
-			superseded = append(superseded, other)
+			others = append(others, other)
 		}
 	}
-	f.current, f.idle, f.unanswered, f.receivedMessage, f.lastUnanswered, f.stalls = watch, 0, 0, true, false, 0
-	return true, superseded
+	f.current, f.idle, f.unanswered, f.firstUnanswered = watch, 0, unanswered{}, unanswered{}
+	return others
+}
+
+func (f *follower) isUnanswered(watch int) bool {
+	return watch != 0 && (watch == f.unanswered.watch || watch == f.firstUnanswered.watch)
+}
+
+// keepUnanswered keeps the current watch, whose answer has not begun, beside the next one. It returns a watch to close (0: none).
+func (f *follower) keepUnanswered(now time.Duration) (drop int) {
+	previous := f.unanswered
+	f.unanswered = unanswered{f.current, f.startedAt}
+	if f.firstUnanswered.watch != 0 && now-f.firstUnanswered.startedAt < maxAnswerDelay {
+		return previous.watch
+	}
+	drop, f.firstUnanswered = f.firstUnanswered.watch, previous
+	return drop
+}
+
+// forgetUnanswered drops an unanswered watch that has ended or is to be closed.
+func (f *follower) forgetUnanswered(watch int) {
+	if f.unanswered.watch == watch {
+		f.unanswered = unanswered{}
+	}
+	if f.firstUnanswered.watch == watch {
+		f.firstUnanswered = unanswered{}
+	}
 }
 
 // noteStall records that a watch has received nothing within its timeout, and whether that was within a message. A watch
-// that fell silent between two messages is kept beside the next one, and so is the last that has received nothing yet: keeping
-// it open needs no requests, and it receives at once what the agent sends when discovery is back. noteStall returns a watch to
-// close (0: none) and whether the next one is due.
+// that fell silent between two messages is kept beside the next one, and so are the first and the last that have received nothing
+// yet: keeping them open needs no requests. The last receives at once what the agent sends when discovery is back, the first what
+// an agent sends that is slow to answer. noteStall returns a watch to close (0: none) and whether the next one is due.
 func (f *follower) noteStall(now time.Duration, watch int, midMessage bool) (drop int, due bool) {
 	switch {
 	case watch == 0:
 	case midMessage && watch == f.idle:
 		drop, f.idle = f.idle, 0
-	case midMessage && watch == f.unanswered:
-		drop, f.unanswered = f.unanswered, 0
+	case midMessage && f.isUnanswered(watch):
+		f.forgetUnanswered(watch)
+		drop = watch
 	case watch == f.current:
 		switch {
 		case midMessage:
@@ -149,7 +201,7 @@
 		case f.receivedMessage:
 			f.idle = f.current
 		default:
-			drop, f.unanswered = f.unanswered, f.current
+			drop = f.keepUnanswered(now)
 		}
 		lastUnanswered := !f.receivedMessage && !midMessage
 		f.endCurrent(now, midMessage)
@@ -168,8 +220,8 @@
 	case watch == 0:
 	case watch == f.idle:
 		f.idle = 0
-	case watch == f.unanswered:
-		f.unanswered = 0
+	case f.isUnanswered(watch):
+		f.forgetUnanswered(watch)
 	case watch == f.current:
 		f.endCurrent(now, midMessage)
 		return true
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -25,6 +25,7 @@
 
 const (
 	messageReceived eventKind = iota // a complete list, or an empty line between lists
+	answerBegun                      // the header of the response has come
 	watchStalled                     // nothing was received within the timeout
 	watchEnded                       // the connection has ended
 )
@@ -80,15 +81,16 @@
 	})
 	defer m.timer.Stop()
 	m.timer.Reset(c.timing.headerTimeout())
-	l, err := readLists(ctx, url, m, c.limits, func(l *List) { send(watchEvent{kind: messageReceived, list: l}) })
+	l, err := readLists(ctx, url, m, c.limits, func() { send(watchEvent{kind: answerBegun}) },
+		func(l *List) { send(watchEvent{kind: messageReceived, list: l}) })
 	// The body of an HTTP error is not the start of a list, after which the next request would come sooner.
 	midMessage := m.midMessage() && !errors.Is(err, errHTTPStatus)
 	send(watchEvent{kind: watchEnded, midMessage: midMessage, list: l, err: err})
 }
 
-// readLists requests url and calls handle for each list of the response, and with nil for an empty line between lists. With
+// readLists requests url, calls begin once the answer has begun, and handle for each list of the response, and with nil for an empty line between lists. With
 // the error it returns the complete entries of a list that was truncated.
-func readLists(ctx context.Context, url string, m *activityMonitor, limits listLimits, handle func(*List)) (*List, error) {
+func readLists(ctx context.Context, url string, m *activityMonitor, limits listLimits, begin func(), handle func(*List)) (*List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -102,6 +104,7 @@
 	if answer.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("%w: %s", errHTTPStatus, answer.Status)
 	}
+	begin()
 	in := newDecoder(&listReader{source: answer.Body, monitor: m, onEmptyLine: func() { handle(nil) }})
 	for {
 		l, err := readList(in, limits)
