reserve: a second loss of the counter's data, and one before a newcomer's reads, are noticed

Seen by callers: where the counter lost its data twice within a second, a firm drew 96 units of a reservation of 64; where it lost them in the last seconds of a generation and a limiter had just started, 128.

Cause: a limiter notices a loss by a total that has fallen. Right after one it knows a low total, which others' repairs make up for, so a second loss does not show. And at a generation's end one that leased only after the loss read the final total together with those that had yet to repair it.

Once all have had the time to notice a loss, a limiter reads again and adds its leases while the total is below the one known before; one that has known a generation's total for a short time reads the final one after the others.

TestSecondLossIsNoticedWhileOthersRestore and TestLossBeforeEndOfGenerationIsNoticedBy NewLimiter failed before and pass. TestUseStaysWithinTheLossBound allowed what limiters had leased that died before a loss; it allows now as well what those had leased that die before they could notice it, or in the generation whose totals are not yet read.

--- a/internal/reserve/reserve.go
+++ b/internal/reserve/reserve.go
@@ -16,7 +16,9 @@
 //     lost.
 //   - The counter loses data: a limiter that sees the total fall adds its own leases of the generation again,
 //     waits until the others have done so, and treats the total that it knew before as the minimum leased.
-//     Limiters that have leased read the total every second. What can be used twice is what the firm draws within
+//     Limiters that have leased read the total every second. Once the others have had the time to add theirs, the
+//     limiter reads the total once more, and adds its leases again while the total is below that minimum: a second
+//     loss in that time may not show as a fall. What can be used twice is what the firm draws within
 //     MaxLossWindow before and after the loss, one lease of each limiter, and what a limiter that died had leased in the
 //     generation.
 //   - No limiter knows the base (all have restarted and the counter is empty): nothing more is leased.
@@ -59,6 +61,8 @@
 	exhaustedDelay = 500 * time.Millisecond
 	// Wait after a loss of data, during which the other limiters add their leases again.
 	lossRecoveryDelay = 600 * time.Millisecond
+	// Time after a loss of data has been noticed, by which the other limiters have noticed it, too.
+	lossNoticedDelay = readInterval + exhaustedDelay
 	// Delay between successive limiters, by rank, before they write the base: usually one of them writes it.
 	baseWriteStagger = 100 * time.Millisecond
 	// The base is written as a number of steps, each 1/baseSteps of the reservation.
@@ -101,17 +105,18 @@
 type callKind uint8
 
 const (
-	noCall        callKind = iota
-	takeLease              // adds a lease to the units leased
-	returnIdle             // returns leased units that nobody asks for
-	returnExcess           // returns what a lease added beyond the units that may be drawn
-	readLeased             // reads the units leased in this generation
-	readReturned           // reads the units returned in this generation
-	restoreOwn             // adds this limiter's leases of the generation again after a loss of data
-	closeLeased            // reads the units leased in the generation that is over
-	closeReturned          // reads the units returned in the generation that is over
-	readBase               // reads the base that other limiters wrote
-	writeBase              // reads whether the base was written, then writes it if it was not
+	noCall         callKind = iota
+	takeLease               // adds a lease to the units leased
+	returnIdle              // returns leased units that nobody asks for
+	returnExcess            // returns what a lease added beyond the units that may be drawn
+	readLeased              // reads the units leased in this generation
+	readReturned            // reads the units returned in this generation
+	restoreOwn              // adds this limiter's leases of the generation again after a loss of data
+	verifyRestored          // reads the units leased once all limiters have had the time to restore their own
+	closeLeased             // reads the units leased in the generation that is over
+	closeReturned           // reads the units returned in the generation that is over
+	readBase                // reads the base that other limiters wrote
+	writeBase               // reads whether the base was written, then writes it if it was not
 )
 
 // account holds what this limiter knows of one reservation.
@@ -138,6 +143,8 @@
 	pendingAmount float64       // amount of the call in flight
 	retryAt       time.Duration // no due call is started before this time
 	leasedReadAt  time.Duration // when the leased total was last read
+	firstReadAt   time.Duration // when the leased total of this generation was first read; 0: not yet
+	verifyAt      time.Duration // when to verify that the leases lost with the counter's data are restored; 0: none were lost
 	exhausted     bool          // the last attempt to lease got no units
 }
 
@@ -329,6 +336,8 @@
 	size := m.leaseSize(a)
 	wanted := a.wantedUnits > 0 || a.unused < size/2 && now-a.lastWantedAt < idleReturnDelay/2
 	switch {
+	case a.verifyAt > 0 && now >= a.verifyAt && elapsed < generationLength-boundaryMargin:
+		m.startCall(a, verifyRestored, a.counterName("leased", gen), 0)
 	case !a.baseWritten && elapsed >= boundaryMargin+time.Duration(m.rank)*baseWriteStagger && now >= a.retryAt:
 		m.startCall(a, writeBase, a.counterName("base", gen), 0)
 	case elapsed >= generationLength-boundaryMargin || now < a.retryAt:
@@ -346,14 +355,15 @@
 }
 
 // closeGeneration starts reading the final totals of a generation that is over. Limiters that leased in it read first,
-// so that they add their leases again if the counter lost them; the others read after them.
+// so that they add their leases again if the counter lost them; the others read after them, and so does a limiter that has
+// known the total for so short a time that the counter may have lost data before, which others have yet to notice.
 func (m *Manager) closeGeneration(now time.Duration, a *account, gen int64, elapsed time.Duration) {
 	if gen-a.generation > 2 { // the counter was unreachable for longer than its names live
 		a.startGeneration(gen, a.leased())
 		return
 	}
 	earliest := boundaryMargin
-	if a.ownLeased <= 0 {
+	if a.ownLeased <= 0 || a.firstReadAt+a.clockOffset > time.Duration(a.generation+1)*generationLength-MaxLossWindow {
 		earliest += lossRecoveryDelay
 	}
 	if now >= a.retryAt && (elapsed >= earliest || gen-a.generation > 1) {
@@ -365,6 +375,7 @@
 func (a *account) startGeneration(gen int64, base float64) {
 	a.generation, a.base, a.baseWritten = gen, base, false
 	a.ownLeased, a.totalLeased, a.minLeased, a.totalReturned = 0, 0, 0, 0
+	a.firstReadAt, a.verifyAt = 0, 0
 }
 
 func (m *Manager) markExhausted(now time.Duration, a *account) {
@@ -412,6 +423,10 @@
 			break
 		}
 		a.totalLeased = total
+		if a.verifyAt > 0 && m.restoreMissing(a) {
+			a.verifyAt = 0 // once: the generation must end
+			break
+		}
 		m.startCall(a, closeReturned, a.counterName("given", a.generation), 0)
 	case closeReturned:
 		a.totalReturned = total
@@ -453,12 +468,31 @@
 	}
 	a.minLeased, a.totalLeased, a.baseWritten = max(a.minLeased, a.totalLeased), total, false
 	a.retryAt = now + lossRecoveryDelay
+	a.verifyAt = now + lossNoticedDelay
 	if a.ownLeased > unitTolerance {
 		m.startCall(a, restoreOwn, a.counterName("leased", a.generation), a.ownLeased)
 	}
 	return true
 }
 
+// verify ends the recovery from a loss of data if the total shows that all leases are restored.
+func (m *Manager) verify(now time.Duration, a *account) {
+	a.verifyAt = 0
+	if m.restoreMissing(a) {
+		a.verifyAt = now + lossNoticedDelay
+	}
+}
+
+// restoreMissing adds this limiter's own leases again, as far as the total is below the minimum. It reports whether it does.
+func (m *Manager) restoreMissing(a *account) bool {
+	missing := min(a.minLeased-a.totalLeased, a.ownLeased)
+	if missing <= unitTolerance {
+		return false
+	}
+	m.startCall(a, restoreOwn, a.counterName("leased", a.generation), missing)
+	return true
+}
+
 // handleTotal processes the total of the current generation that a call returned.
 func (m *Manager) handleTotal(now time.Duration, a *account, k callKind, amount, total float64) {
 	switch k {
@@ -470,10 +504,16 @@
 		return
 	}
 	a.leasedReadAt = now
+	if a.firstReadAt == 0 {
+		a.firstReadAt = now
+	}
 	if m.detectLoss(now, a, total, a.ownLeased+amount) {
 		return // the units of a lease that this call took stay unused
 	}
 	a.totalLeased = total
+	if k == verifyRestored {
+		m.verify(now, a)
+	}
 	if k != takeLease {
 		return
 	}
@@ -507,6 +547,8 @@
 		m.startCall(a, k, a.counterName("leased", a.generation), amount)
 	case k == returnExcess && notAdded:
 		m.startCall(a, k, a.counterName("given", a.generation), amount)
+	case k == verifyRestored:
+		a.verifyAt = a.retryAt
 	case k == writeBase:
 		a.baseWritten = amount > 0 && !notAdded
 	}
