tests: connections are ended once their readers wait for bytes again

TestLocalClosesDoNotWaitForPoolLock counts descriptors after it has closed the idle connections under the pool's lock. A reader that is on its way to look for more bytes holds its descriptor until it has that lock, so the count could be off by one.

--- a/internal/upstream/end_test.go
+++ b/internal/upstream/end_test.go
@@ -34,6 +34,16 @@
 	return string(text[:runtime.Stack(text, true)])
 }
 
+// restingReaders returns how many readers of connections wait for bytes.
+func restingReaders() (n int) {
+	for _, stack := range strings.Split(goroutineStacks(), "\n\n") {
+		if strings.Contains(stack, "[IO wait") && strings.Contains(stack, "socket.(*Conn).readOnce") {
+			n++
+		}
+	}
+	return n
+}
+
 // When the pool closes many idle connections at once, the close callbacks must not queue for the pool's lock. They found nothing
 // left to do there, and the next try had to wait behind them.
 //
@@ -58,6 +68,8 @@
 		require.Equal(t, logic.OK, (<-outcomes).Status)
 	}
 	require.GreaterOrEqual(t, countSockets(t), before+2*connections, "the tries did not open a connection each, so the test proves nothing")
+	// A reader that is on its way to look for more bytes holds its descriptor until it has the lock.
+	require.Eventually(t, func() bool { return restingReaders() >= connections }, testTimeout, time.Millisecond)
 
 	pool.mu.Lock()
 	pool.closeIdle(pool.targets[1])
