tests: the memory of a plan book is measured over a difference larger than its noise

Cause, measured here in 32 limiters: 5,000 firms take 1.7 MB, all of it anonymous memory, while 7.4 to 9.7 MB of the program's file are mapped, by how long ago the limiter gave back what only its start needed. One pair of limiters can fall on either side of that.

The check is as it was; the larger book has 20,000 firms, 3.4 MB over any with 50 in another 32 limiters (11.6 to 14.3 and 17.7 to 20.8 MB).

--- a/internal/scale/resident_test.go
+++ b/internal/scale/resident_test.go
@@ -18,7 +18,7 @@
 	binary, err := lab.BuildLimiter(t.Context(), t.TempDir())
 	require.NoError(t, err)
 	sizes := ResidentSizes{ListedServers: []int{100, 6_000, 12_000}, ChangesPerSecond: []float64{0, 100}, ActiveFirms: []int{50, 1_000}, ModuleFirms: []int{1_000, 20_000},
-		KnownFirms: []int{50, 5_000}, Repeats: 1, Settle: 200e6}
+		KnownFirms: []int{50, 20_000}, Repeats: 1, Settle: 200e6}
 	slopes, refused, err := Resident(t.Context(), binary, sizes, nil, t.Logf)
 	require.NoError(t, err)
 	assert.Empty(t, refused)
