logic: decisions are the same on every architecture: products are rounded before sums

No caller saw anything; limiters of one fleet on both architectures would have decided differently in the last bit.

Cause: on arm64 the compiler fuses x*y + z into one instruction with one rounding, 71 of them in this package.

An explicit conversion rounds a product, as the language's specification says. The repeated x += share * (sample - x) is one function now, in the same order of operations.

--- a/logic/api.go
+++ b/logic/api.go
@@ -20,6 +20,7 @@
 //	servers.go    the records of servers and upstream groups; lost zones, slow start, the retry budget
 //	plans.go      changes of plans, and reservations
 //	clock.go      the clock that the machines share, and its steps
+//	rounding.go   arithmetic that is the same on every architecture
 //	tuning.go     most of the constants
 package logic
 
--- a/logic/customers.go
+++ b/logic/customers.go
@@ -109,7 +109,7 @@
 // pack puts three sums into one number: two up to 127, one up to 1023. They take the 24 bits that a float of single precision
 // holds exactly.
 func pack(gateways, within, forecasts float64) float64 {
-	return gateways*(1<<17) + within*(1<<10) + forecasts
+	return float64(gateways*(1<<17)) + float64(within*(1<<10)) + forecasts
 }
 
 func unpack(v float64) (gateways, within, forecasts float64) {
@@ -166,7 +166,7 @@
 	if c.plan.CeilingRate <= 0 || c.bucket.isFresh(now, c.plan) {
 		return 0
 	}
-	return max(0, c.gateways*units-c.plan.CeilingBurst) / c.plan.CeilingRate
+	return max(0, float64(c.gateways*units)-c.plan.CeilingBurst) / c.plan.CeilingRate
 }
 
 // update takes a total that includes this gateway's own draw; totalAge is how long the total has been added to. A total under a
@@ -174,7 +174,7 @@
 // gone on as before. levelWithoutOverflow is the level if the bucket, full at first, never overflowed.
 func (s *bucketState) update(now time.Duration, name uint64, total float64, p Plan, totalAge time.Duration) {
 	dt := (now - s.readAt).Seconds()
-	maxLevel, levelWithoutOverflow := p.Burst, p.Burst+p.Rate*totalAge.Seconds()-total
+	maxLevel, levelWithoutOverflow := p.Burst, p.Burst+float64(p.Rate*totalAge.Seconds())-total
 	if !s.isFresh(now, p) {
 		maxLevel /= 2 // a burst at the end of the time between may have gone unnoticed
 	}
@@ -182,10 +182,10 @@
 	case s.readAt == 0 || dt > bucketStateTTL.Seconds():
 		s.level, s.drawRate = levelWithoutOverflow, 0
 	case name == s.name && total >= s.total:
-		s.level += p.Rate*dt - (total - s.total)
-		s.drawRate += min(dt, 1) * ((total-s.total)/max(dt, 1e-3) - s.drawRate)
+		s.level += float64(p.Rate*dt) - (total - s.total)
+		s.drawRate = smoothed(s.drawRate, min(dt, 1), (total-s.total)/max(dt, 1e-3))
 	default:
-		s.level = min(s.level+max(0, p.Rate-s.drawRate)*dt, levelWithoutOverflow)
+		s.level = min(s.level+float64(max(0, p.Rate-s.drawRate)*dt), levelWithoutOverflow)
 	}
 	s.level = max(min(s.level, maxLevel), -p.Burst)
 	s.readAt, s.name, s.total = now, name, total
@@ -214,8 +214,9 @@
 	c.filledAt = now
 	p := c.plan
 	if p.Rate > 0 {
-		c.level = min(c.level+c.share*dt, c.bucketSize())
-		c.recentExcess = min(max(0, c.recentExcess-c.share*dt), c.bucketSize())
+		refilled := float64(c.share * dt)
+		c.level = min(c.level+refilled, c.bucketSize())
+		c.recentExcess = min(max(0, c.recentExcess-refilled), c.bucketSize())
 	}
 	// Units drawn for requests that are gone lapse: those of all gateways together would be another burst.
 	if now > c.drawnDueAt+c.interval {
@@ -223,7 +224,7 @@
 	}
 	c.recentRate *= math.Exp(-dt / c.interval.Seconds())
 	if p.CeilingRate > 0 {
-		c.ceiling = min(c.ceiling+p.CeilingRate/c.gateways*dt, p.CeilingBurst/c.gateways)
+		c.ceiling = min(c.ceiling+float64(p.CeilingRate/c.gateways*dt), p.CeilingBurst/c.gateways)
 	}
 }
 
--- a/logic/draws.go
+++ b/logic/draws.go
@@ -41,7 +41,7 @@
 func (c *customer) useCountOf(total float64) useCount {
 	steps := max(0, math.Floor(total/c.deficitUnit()))
 	return useCount{
-		units:   total - steps*c.deficitUnit(),
+		units:   total - float64(steps*c.deficitUnit()),
 		deficit: min(steps/deficitSteps, 1) * c.plan.Burst,
 	}
 }
@@ -49,13 +49,13 @@
 // grantable is how many units of an interval's count may have been granted by a time, counted from the interval's start: what
 // the bucket held then and has been refilled by, but never more than the interval's quota.
 func (c *customer) grantable(deficit float64, elapsed time.Duration) float64 {
-	refilled := c.plan.Rate * elapsed.Seconds()
+	refilled := float64(c.plan.Rate * elapsed.Seconds())
 	return min(c.plan.Rate*c.interval.Seconds(), c.plan.Burst-deficit+refilled)
 }
 
 // grantableAfter is the time from the start of an interval after which its count may reach a total; false: not in it.
 func (c *customer) grantableAfter(count useCount) (time.Duration, bool) {
-	if count.units > c.plan.Rate*c.interval.Seconds()+drawTolerance {
+	if count.units > float64(c.plan.Rate*c.interval.Seconds())+drawTolerance {
 		return 0, false
 	}
 	missing := count.units - (c.plan.Burst - count.deficit)
@@ -65,8 +65,8 @@
 // deficitLeft is the deficit at an interval's end that is left by units granted in it as the last of a count: the part of them
 // that will not have been refilled by then, after what is still missing since the interval began.
 func (c *customer) deficitLeft(count useCount, units float64, elapsed time.Duration) float64 {
-	outstanding := max(0, count.deficit-c.plan.Rate*elapsed.Seconds())
-	refilled := c.plan.Rate * (c.interval - elapsed).Seconds()
+	outstanding := max(0, count.deficit-float64(c.plan.Rate*elapsed.Seconds()))
+	refilled := float64(c.plan.Rate * (c.interval - elapsed).Seconds())
 	return max(0, min(units, outstanding+count.units-refilled))
 }
 
@@ -144,7 +144,7 @@
 // carryDeficit adds a deficit to the count of the interval after the given one, in whole steps: rounded at random, so that it
 // is right on the mean.
 func (g *Gateway) carryDeficit(c *customer, interval int64, deficit float64) {
-	steps := math.Floor(deficit/c.plan.Burst*deficitSteps + g.random())
+	steps := math.Floor(float64(deficit/c.plan.Burst*deficitSteps) + g.random())
 	if deficit <= 0 || steps < 1 {
 		return
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -97,10 +97,11 @@
 	g.do(SetTimer{r.token, r.deadline - g.now}) // every accepted one: answerMargin before its client's deadline
 	// Each counter earns twice its even share of the calls, since names are spread unevenly over the counters.
 	for _, k := range g.counters {
-		k.callsLeft = min(k.callsLeft+counterCallsPerRequest*min(1, 2/float64(g.counterCount))*
-			max(k.callShare, 1-g.unseenShare), g.callBurst)
+		earned := counterCallsPerRequest * min(1, 2/float64(g.counterCount))
+		earned = float64(earned * max(k.callShare, 1-g.unseenShare))
+		k.callsLeft = min(k.callsLeft+earned, g.callBurst)
 	}
-	g.meanRequestUnits += 0.02 * (q.Units - g.meanRequestUnits)
+	g.meanRequestUnits = smoothed(g.meanRequestUnits, 0.02, q.Units)
 	r.customer = g.customerOf(r)
 	r.customer.demanded, r.customer.bestWorth = r.customer.demanded+r.demand(g),
 		max(r.customer.bestWorth, r.class.Worth)
@@ -272,9 +273,9 @@
 		if c.intervalsEnded++; c.intervalsEnded == 1 {
 			change = 0 // the first interval of a new customer is no rise
 		}
-		c.meanChange += forecastSmoothing * (change - c.meanChange)
-		c.meanRise += forecastSmoothing * (max(0, change) - c.meanRise)
-		c.forecast = max(0, demand+c.meanChange+riseMargin*c.meanRise)
+		c.meanChange = smoothed(c.meanChange, forecastSmoothing, change)
+		c.meanRise = smoothed(c.meanRise, forecastSmoothing, max(0, change))
+		c.forecast = max(0, demand+c.meanChange+float64(riseMargin*c.meanRise))
 		c.lastDemand, c.demanded = demand, 0
 	}
 }
@@ -293,7 +294,7 @@
 	steps := c.forecastSteps()
 	forecast := math.Ceil(c.forecast / even * steps)
 	if steps < stepsPerEvenShare {
-		forecast = math.Floor(c.forecast/even*steps + g.random())
+		forecast = math.Floor(float64(c.forecast/even*steps) + g.random())
 	}
 	forecast = min(forecast, maxForecastSteps, math.Floor(1023/c.gateways))
 	if packed := pack(1, min(forecast, steps), forecast); g.addToCount(c, forecastSums, packed, nil) {
@@ -419,7 +420,7 @@
 			spreadDelay := g.random() * c.startSpreadSeconds(g.now, g.meanRequestUnits) // all may start at once
 			c.bucket.update(g.now, e.Name, e.Total, c.plan, c.totalAge(g.now))
 			c.drawnUnits += made.units
-			wait := spreadDelay + max(0, -c.bucket.level)/c.plan.Rate
+			wait := float64(spreadDelay) + max(0, -c.bucket.level)/c.plan.Rate
 			c.drawnDueAt = g.now + time.Duration(wait*float64(time.Second))
 		}
 		g.releaseHeld(c)
@@ -456,7 +457,7 @@
 // reports nothing, may use so much.
 func splitQuota(gateways, reporting, within, forecasts, own, steps float64) float64 {
 	ownWithin := min(own, steps)
-	left := gateways*steps - within - (gateways-reporting)*minReportedShare*steps
+	left := float64(gateways*steps) - within - float64((gateways-reporting)*minReportedShare*steps)
 	short := forecasts - within
 	if left < 0 {
 		return ownWithin
@@ -506,7 +507,8 @@
 
 // mayCallCounter keeps the last calls of the budget for the plans of the highest price.
 func (g *Gateway) mayCallCounter(c *customer, kind int64) bool {
-	to, _ := g.availableCounters(c.currentCount(kind), 1+callsKeptForMaxPrice*(1-c.plan.Price/g.maxPrice))
+	kept := float64(callsKeptForMaxPrice * (1 - c.plan.Price/g.maxPrice))
+	to, _ := g.availableCounters(c.currentCount(kind), 1+kept)
 	return len(to) > 0
 }
 
@@ -531,7 +533,7 @@
 		return max(1, int(share))
 	}
 	turn := (g.now + c.clockAhead).Seconds() / g.turnTime.Seconds()
-	return int(math.Floor(share*(c.rank+1)+turn) - math.Floor(share*c.rank+turn))
+	return int(math.Floor(float64(share*(c.rank+1))+turn) - math.Floor(float64(share*c.rank)+turn))
 }
 
 // needInBucket is what the bucket must hold for a request; one larger than the bucket goes when that is full.
@@ -711,7 +713,8 @@
 		s := u.cold[k]
 		w := g.warmShare(s)
 		rate := u.sendRate * w * coldLoadShare
-		s.coldTokens = min(s.coldTokens+rate*(g.now-s.coldRefilledAt).Seconds(), 1+0.2*rate*g.set.Fall.Seconds())
+		refilled := float64(rate * (g.now - s.coldRefilledAt).Seconds())
+		s.coldTokens = min(s.coldTokens+refilled, 1+float64(0.2*rate*g.set.Fall.Seconds()))
 		if s.coldRefilledAt = g.now; w >= 1 {
 			g.recount(s)
 		}
@@ -724,7 +727,7 @@
 	u.sendTokens = min(u.sendTokens+u.concurrencyLimit()*dt*float64(time.Second)/min(u.latency, 3*u.idleLatency),
 		1+math.Sqrt(u.concurrencyLimit()))
 	u.raiseLocalLimit(dt)
-	u.sendRate += dt * (u.sent/dt/float64(max(warm, 1)) - u.sendRate)
+	u.sendRate = smoothed(u.sendRate, dt, u.sent/dt/float64(max(warm, 1)))
 	u.sent = 0
 }
 
@@ -753,7 +756,7 @@
 	s.ejected, s.trialPending = true, false
 	g.recount(s)
 	// Each of many gateways tries the server again, so each waits longer.
-	s.ejectedUntil = g.now + time.Duration(float64(s.backoff)*(1+manyGatewaysEjectFactor*g.unseenShare))
+	s.ejectedUntil = g.now + time.Duration(float64(s.backoff)*(1+float64(manyGatewaysEjectFactor*g.unseenShare)))
 	s.backoff = min(2*s.backoff, maxEjectTime)
 	g.logLimited("server", fmt.Sprintf("%x left out (%s)", s.ID, reason))
 }
@@ -765,22 +768,23 @@
 	switch o.Status {
 	case OK:
 		s.answeredAt = g.now
-		s.latency = s.estimatedLatency() + 0.1*(lat-s.estimatedLatency())
-		u.latency += 0.02 * (1 + 6*g.unseenShare) * (lat - u.latency) // where answers are few, each must weigh more
+		s.latency = smoothed(s.estimatedLatency(), 0.1, lat)
+		// Where answers are few, each must weigh more.
+		u.latency = smoothed(u.latency, 0.02*(1+float64(6*g.unseenShare)), lat)
 		u.idleLatency = min(u.idleLatency*1.0001, u.latency)
-		s.failureRate -= failureSmoothing * s.failureRate
+		s.failureRate = smoothed(s.failureRate, failureSmoothing, 0)
 		if s.ejected {
 			s.ejected, s.trialPending, s.failureRate = false, false, ejectFailureRate*0.8
 			g.recount(s)
 		} else if s.failureRate < 0.05 {
 			s.backoff = minEjectTime
 		}
-		u.loadPerServer += 0.02 * (u.inFlight/max(u.warmCapacity, 1) - u.loadPerServer)
+		u.loadPerServer = smoothed(u.loadPerServer, 0.02, u.inFlight/max(u.warmCapacity, 1))
 		u.servedPerServer = max(0.9998*u.servedPerServer, u.loadPerServer*u.idleLatency/u.latency)
 		g.lowerLimitUnderLoad(u, lat/float64(r.class.Aim))
 		if u.aimShare < growBelowAimShare && (u.inFlight+1 > 0.8*u.concurrencyLimit() ||
 			g.unseenShare > 0 && u.sendTokens < 1) {
-			u.limitPerServer = min(u.limitPerServer*(1+0.005*(1+9*g.unseenShare)), maxServerLimit)
+			u.limitPerServer = min(u.limitPerServer*(1+float64(0.005*(1+float64(9*g.unseenShare)))), maxServerLimit)
 		}
 	case Cancelled, NotAttempted, LocalShortage, ExpiredUnsent:
 		s.trialPending = false
@@ -805,9 +809,9 @@
 		}
 		// A server that turns all away at once looks idle and would attract all: Full counts as a failure. So does
 		// an answer that nobody can use, though any server gives one now and then. Both weigh half.
-		if s.failureRate += failureSmoothing / 2 * (1 - s.failureRate); o.Status != Full &&
-			o.Status != InvalidAnswer {
-			s.failureRate += failureSmoothing / 2 * (1 - s.failureRate)
+		s.failureRate = smoothed(s.failureRate, failureSmoothing/2, 1)
+		if o.Status != Full && o.Status != InvalidAnswer {
+			s.failureRate = smoothed(s.failureRate, failureSmoothing/2, 1)
 		}
 		// Each of many gateways sends to a server rarely, so one failure ejects it: else each would lose another.
 		if s.trialPending || !s.ejected &&
@@ -823,10 +827,10 @@
 // over latency) stays, less of it with many gateways: where all servers are slow at once there is no queue to
 // drain, and fewer attempts in flight would only leave their cores idle.
 func (g *Gateway) lowerLimitUnderLoad(u *upstream, share float64) {
-	u.aimShare += 0.05 * (1 + 6*g.unseenShare) * (share - u.aimShare)
+	u.aimShare = smoothed(u.aimShare, 0.05*(1+float64(6*g.unseenShare)), share)
 	if u.aimShare > cutAboveAimShare &&
 		g.now-u.limitCutAt >= max(minLimitCutInterval, time.Duration(g.unseenShare*u.latency)) {
-		left := max(0.93-0.13*g.unseenShare, min(cutAboveAimShare/u.aimShare, 0.93))
+		left := max(0.93-float64(0.13*g.unseenShare), min(cutAboveAimShare/u.aimShare, 0.93))
 		u.limitPerServer, u.limitCutAt = max(u.limitPerServer*left, 1/float64(g.set.Gateways),
 			u.servedPerServer*(1-g.unseenShare)), g.now
 	}
@@ -879,7 +883,7 @@
 	}
 	r.attempts++
 	u.inFlight, u.sent, u.sendTokens = u.inFlight+1, u.sent+1, u.sendTokens-1
-	u.meanUnits += 0.02 * (max(r.Units, 1e-3) - u.meanUnits) // never 0: sizes are divided by it
+	u.meanUnits = smoothed(u.meanUnits, 0.02, max(r.Units, 1e-3)) // never 0: sizes are divided by it
 	s.addAttempt(r)
 	if s.ejected {
 		s.trialPending, s.ejectedUntil = true, g.now+s.backoff
@@ -936,7 +940,7 @@
 			continue
 		}
 		score := (s.unitsInFlight/r.upstream.meanUnits + 1) *
-			max(s.estimatedLatency()/r.upstream.latency, 0.3) * (1 + 0.1*g.random())
+			max(s.estimatedLatency()/r.upstream.latency, 0.3) * (1 + float64(0.1*g.random()))
 		if g.unseenShare == 0 { // of many gateways the random draw has thinned out a cold server's share already
 			score /= w
 		}
--- a/logic/servers.go
+++ b/logic/servers.go
@@ -387,7 +387,7 @@
 	if u.localLimit <= 0 {
 		return
 	}
-	if u.localLimit += dt * localLimitGrowth; u.localLimit > 2*u.concurrencyLimit()+1 {
+	if u.localLimit += float64(dt * localLimitGrowth); u.localLimit > float64(2*u.concurrencyLimit())+1 {
 		u.localLimit = 0
 	}
 }
@@ -408,7 +408,9 @@
 // concurrencyLimit is how many attempts may be in flight from here on the mean. It may be below 1: many gateways that each had
 // one attempt in flight would be too much then, so each of many gateways also needs a send token for an attempt (see hasRoom).
 // Send tokens come with time, up to 1 + sqrt(limit), so that random bursts may leave.
-func (u *upstream) concurrencyLimit() float64 { return u.limitPerServer * max(u.warmCapacity, 1) }
+func (u *upstream) concurrencyLimit() float64 {
+	return float64(u.limitPerServer * max(u.warmCapacity, 1))
+}
 
 // hasRoom tells whether one more attempt may leave. With few gateways: while fewer than limit + 0.5 are in flight. With many:
 // while there is a send token and fewer than limit + sqrt(limit) + 1 are in flight. In either case not beyond the local limit,
--- a/logic/state.go
+++ b/logic/state.go
@@ -142,7 +142,7 @@
 
 func (g *Gateway) random() float64 { // splitmix64
 	g.rng += 0x9e3779b97f4a7c15
-	return float64(mix(g.rng)>>11) / (1 << 53)
+	return float64(float64(mix(g.rng)>>11) / (1 << 53))
 }
 
 // mix is the finalizer of splitmix64. It also hashes names that all gateways must agree on.
