tests: a connection to a server that breaks breaks: its reads fail, not calls of readv

TestBrokenConnectionMayHaveExecutedRequest let readv fail, which nothing calls since connections are read through the standard library.

It lets the read of the server's connection fail after the request has come, found by the connection's remote address in /proc, and demands that this happened; the checks of the answer, of the server's one command and of the next request are as before. A fixture may name the system calls that it is asked about, since asking about each read is slow for the others.

--- a/cmd/bramblefall/helper_test.go
+++ b/cmd/bramblefall/helper_test.go
@@ -129,18 +129,19 @@
 
 // fixture is the environment of a limiter under test: its settings and limits, its servers, a counter and discovery.
 type fixture struct {
-	settings       object
-	servers        []*server
-	counter        *quotaCounter
-	registry       *registry
-	rateLimitFile  string // path of the -ratelimit file; "": none
-	operatorFile   string // path of the -operator file; "": none
-	memoryMB       int    // memory cap; 0: 192
-	maxDescriptors int    // limit on descriptors in the configuration; 0: 128
-	enforceRlimit  bool   // the kernel enforces maxDescriptors, too (ulimit -n)
-	cores          float64
-	syscallErrors  syscallErrorFunc // decides which system calls of the process fail; nil: none
-	clock          *wallClock       // nil: the machine's clock
+	settings         object
+	servers          []*server
+	counter          *quotaCounter
+	registry         *registry
+	rateLimitFile    string // path of the -ratelimit file; "": none
+	operatorFile     string // path of the -operator file; "": none
+	memoryMB         int    // memory cap; 0: 192
+	maxDescriptors   int    // limit on descriptors in the configuration; 0: 128
+	enforceRlimit    bool   // the kernel enforces maxDescriptors, too (ulimit -n)
+	cores            float64
+	filteredSyscalls []uint32         // system calls that syscallErrors is asked about; nil: usualSyscalls
+	syscallErrors    syscallErrorFunc // decides which system calls of the process fail; nil: none
+	clock            *wallClock       // nil: the machine's clock
 }
 
 // config returns the content of the limiter's configuration file.
@@ -193,7 +194,7 @@
 		}
 	}
 	if f.syscallErrors != nil {
-		filterSyscalls(t, l.cmd, f.syscallErrors)
+		filterSyscalls(t, l.cmd, f.filteredSyscalls, f.syscallErrors)
 	}
 	out, err := l.cmd.StderrPipe()
 	require.NoError(t, err)
--- a/cmd/bramblefall/syscalls_test.go
+++ b/cmd/bramblefall/syscalls_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	encoding "encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -8,7 +10,6 @@
 	"os"
 	"os/exec"
 	"runtime"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,7 +32,7 @@
 type syscallErrorFunc func(number int32, argument uint64, nth int) syscall.Errno
 
 const (
-	filterEnv = "BRAMBLEFALL_TEST_FILTER" // set where the test binary has to install the filter and then execute the program
+	filterEnv = "BRAMBLEFALL_TEST_FILTER" // numbers of the system calls that the test binary has to filter before it executes the program
 	filterFD  = 3                         // the descriptor over which it sends the filter's notification descriptor to the test
 
 	notifyReceive      = 0xc0502100 // SECCOMP_IOCTL_NOTIF_RECV
@@ -40,8 +41,8 @@
 	filterWaitKillable = 1 << 5     // SECCOMP_FILTER_FLAG_WAIT_KILLABLE_RECV
 )
 
-// filteredSyscalls are the system calls that the kernel asks about; all others proceed.
-var filteredSyscalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC, pollSyscall, unix.SYS_READV}
+// usualSyscalls are the system calls that the kernel asks about where a fixture names none; all others proceed.
+var usualSyscalls = []uint32{unix.SYS_ACCEPT4, unix.SYS_CONNECT, unix.SYS_SOCKET, unix.SYS_FSYNC, pollSyscall}
 
 // notification is the kernel's struct seccomp_notif.
 type notification struct {
@@ -66,6 +67,10 @@
 // name. It returns only on failure.
 func execFiltered() error {
 	runtime.LockOSThread()
+	var filteredSyscalls []uint32
+	if err := json.Unmarshal([]byte(os.Getenv(filterEnv)), &filteredSyscalls); err != nil {
+		return err
+	}
 	program := []unix.SockFilter{{Code: unix.BPF_LD | unix.BPF_W | unix.BPF_ABS}}
 	for k, number := range filteredSyscalls {
 		program = append(program, unix.SockFilter{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: uint8(len(filteredSyscalls) - k), K: number})
@@ -90,7 +95,12 @@
 
 // filterSyscalls changes a command so that its process runs under the filter, and answers the kernel until the process or the
 // test ends.
-func filterSyscalls(t *testing.T, cmd *exec.Cmd, errnoFor syscallErrorFunc) {
+func filterSyscalls(t *testing.T, cmd *exec.Cmd, numbers []uint32, errnoFor syscallErrorFunc) {
+	if numbers == nil {
+		numbers = usualSyscalls
+	}
+	list, err := json.Marshal(numbers)
+	require.NoError(t, err)
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
 	ours, theirs := os.NewFile(uintptr(pair[0]), "ours"), os.NewFile(uintptr(pair[1]), "theirs")
@@ -99,7 +109,7 @@
 	if cmd.Env == nil {
 		cmd.Env = os.Environ()
 	}
-	cmd.Env = append(cmd.Env, filterEnv+"=1")
+	cmd.Env = append(cmd.Env, filterEnv+"="+string(list))
 	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
 	go func() {
 		rights := make([]byte, unix.CmsgSpace(4))
@@ -291,16 +301,33 @@
 	})
 }
 
+// isConnectedTo reports whether a descriptor of a process is a TCP connection to an address.
+func isConnectedTo(pid int, fd uint64, addr *net.TCPAddr) bool {
+	link, err := os.Readlink(fmt.Sprintf("/proc/%d/fd/%d", pid, fd))
+	if err != nil {
+		return false
+	}
+	inode := strings.TrimSuffix(strings.TrimPrefix(link, "socket:["), "]")
+	table, err := os.ReadFile(fmt.Sprintf("/proc/%d/net/tcp", pid))
+	if err != nil {
+		return false
+	}
+	remote := fmt.Sprintf("%08X:%04X", encoding.NativeEndian.Uint32(addr.IP.To4()), addr.Port)
+	for line := range strings.Lines(string(table)) {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[9] == inode && fields[2] == remote {
+			return true
+		}
+	}
+	return false
+}
+
 // A connection to a server breaks after its request was written, with a reset or another error. The server may have run the
-// request, so a request of a class that must never run twice is reported as failed, neither rejected nor sent again. A client's
-// connection that breaks in this way counts as gone.
+// request, so a request of a class that must never run twice is reported as failed, neither rejected nor sent again.
 func TestBrokenConnectionMayHaveExecutedRequest(t *testing.T) {
 	t.Parallel()
 	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNRESET} {
 		t.Run(unix.ErrnoName(errno), func(t *testing.T) {
 			t.Parallel()
-			var mu sync.Mutex
-			var fds []uint64 // descriptors that were read: the client's first, then the server's
 			s := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
 				if args[2] == "01" {
 					_, _ = io.WriteString(conn, "*3\r\n") // the beginning of a reply
@@ -308,25 +335,24 @@
 					replyValue("v")(conn, args)
 				}
 			})
+			addr, err := net.ResolveTCPAddr("tcp", s.addr)
+			require.NoError(t, err)
+			var pid atomic.Int64
+			var broken atomic.Bool
 			f := fixture{settings: changeClass(settings(), 1, object{"semantics": "single_shot"}), servers: []*server{s},
-				syscallErrors: func(number int32, fd uint64, _ int) syscall.Errno {
-					mu.Lock()
-					defer mu.Unlock()
-					if number != unix.SYS_READV {
-						return 0
-					}
-					if !slices.Contains(fds, fd) {
-						fds = append(fds, fd)
-					}
-					if len(fds) == 2 && fd == fds[1] {
-						fds = append(fds, ^uint64(0)) // a third entry, so that the error is returned only once
+				filteredSyscalls: []uint32{unix.SYS_READ},
+				syscallErrors: func(_ int32, fd uint64, _ int) syscall.Errno {
+					if len(s.received()) == 1 && !broken.Load() && isConnectedTo(int(pid.Load()), fd, addr) {
+						broken.Store(true)
 						return errno
 					}
 					return 0
 				}}
 			l := start(t, f)
+			pid.Store(int64(l.cmd.Process.Pid))
 			c := l.dial()
 			assert.Equal(t, "-ERR failed", c.do(doArgs("01")...))
+			assert.True(t, broken.Load(), "no read of the server's connection failed, so the test proves nothing")
 			assert.Len(t, s.received(), 1)
 			assert.Equal(t, "v", c.do(doArgs("02")...))
 		})
