grpcserver: calls are handled by workers that stay, with one hook at the end of each

Calls are now handled by four goroutines that stay and keep their stacks; a call that finds none free has its own, as before, so none waits. The end of a call has one hook instead of two, which also stops its message's timer.

Tests of grpcserver and ratelimit pass with the race detector.

--- a/internal/grpcserver/server.go
+++ b/internal/grpcserver/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
@@ -23,6 +24,7 @@
 	bufferBytes      = 4 << 10  // for reading and for writing, of each connection
 	windowBytes      = 64 << 10 // that a caller may send on a stream ahead of its call; the library allows no less
 	maxHeaderBytes   = 8 << 10  // of one call
+	callWorkers      = 4        // goroutines that handle calls one after the other; a call that finds none free has its own
 )
 
 // Limits bound what a server holds.
@@ -46,6 +48,7 @@
 		grpc.ReadBufferSize(bufferBytes),
 		grpc.WriteBufferSize(bufferBytes),
 		grpc.SharedWriteBuffer(true),
+		grpc.NumStreamWorkers(callWorkers),
 		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.InTapHandle(a.admit),
 		grpc.StatsHandler(connectionTagger{}),
@@ -63,7 +66,8 @@
 	messageTimerKey struct{}
 )
 
-// admit lets a call begin if there is memory for it. The library calls it for one call of a connection at a time. The context that it returns ends if the call's message does not come in time.
+// admit lets a call begin if there is memory for it. The library calls it for one call of a connection at a time. The context that
+// it returns ends if the call's message does not come in time.
 func (a *admission) admit(ctx context.Context, info *tap.Info) (context.Context, error) {
 	defer crash.Guard()
 	c, _ := ctx.Value(connectionKey{}).(*gatedConn)
@@ -76,6 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
+	callCtx, timer := a.startMessageTimer(ctx, info.FullMethodName)
 	a.limits.Calls.Add(size)
 	c.callsInHand.Add(size)
 	c.callsInProgress.Add(1)
@@ -83,16 +88,22 @@
 		c.callsInProgress.Add(-1)
 		a.limits.Calls.Add(-size)
 		c.callsInHand.Add(-size)
-	})
-	for _, name := range a.limits.StreamCalls {
-		if name == info.FullMethodName {
-			return ctx, nil
+		if timer != nil {
+			timer.Stop() // it holds the call, and with it the connection
 		}
+	})
+	return callCtx, nil
+}
+
+// startMessageTimer returns a call's context, which ends if its message does not come in time, and the timer for that; nil for a call
+// that stays open.
+func (a *admission) startMessageTimer(ctx context.Context, method string) (context.Context, *time.Timer) {
+	if slices.Contains(a.limits.StreamCalls, method) {
+		return ctx, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := crash.AfterFunc(messageTimeout, cancel)
-	context.AfterFunc(ctx, func() { timer.Stop() }) // the timer holds the call, and with it the connection
-	return context.WithValue(ctx, messageTimerKey{}, timer), nil
+	return context.WithValue(ctx, messageTimerKey{}, timer), timer
 }
 
 // refusal returns why a call must not begin; nil if it may.
