platform: a request that lay unread for want of processor time counts from when it came

Clients whose requests lay in the kernel while the limiter had too little processor time had them sent on with deadlines up to 757 ms longer than they still waited; the terms allow 150 ms.

Cause: a request's time ran from when its bytes were read.

The kernel is now asked when bytes came if the loop's timers are late or were within the last second; a process that runs in time asks nothing, so that a request costs what it did.

TestForwardedDeadlineCountsTimeUnread failed before: "5.986s" is not less than or equal to "5.55s", on a connection accepted before and on one in the listen queue.

--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -73,6 +73,38 @@
 	}
 }
 
+// The told deadline of a request that lay in the kernel while the limiter had no processor time was counted from when it was read.
+func TestForwardedDeadlineCountsTimeUnread(t *testing.T) {
+	t.Parallel()
+	const unread = 600 * time.Millisecond
+	for name, accepted := range map[string]bool{"connection accepted before": true, "connection in the listen queue": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			deadlines := make(chan time.Duration, 1)
+			node := newServer(t, "s-1", "hall-a", func(conn net.Conn, args []string) {
+				if args[0] == "Q.DO" {
+					deadlines <- sentDeadline(t, args)
+				}
+				replyValue("v")(conn, args)
+			})
+			l := start(t, fixture{servers: []*server{node}})
+			c := l.dial()
+			require.Equal(t, "v", c.do(askArgs("01")...))
+			var sent time.Time
+			l.whileStopped(0, func() {
+				if !accepted {
+					c = l.dial()
+				}
+				c.write(encodeCommand(doArgs("02")...))
+				sent = time.Now()
+				time.Sleep(unread)
+			})
+			require.Equal(t, "v", c.readReply())
+			assert.LessOrEqual(t, <-deadlines, 6*time.Second-unread+maxDeadlineExcess, "sent %v ago", time.Since(sent))
+		})
+	}
+}
+
 // A client that keeps sending, in pieces that each end in the middle of a command, is not taken for one that has stopped in the
 // middle of a command.
 func TestSteadyPartialCommandsAreNotStalled(t *testing.T) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -58,6 +58,7 @@
 	timersKept     int // timers that were left when pointless ones were last dropped
 	effects        []core.Effect
 	stalls         stallLog
+	holdUps        holdUps
 	traceTries     bool // whether to log tries and outcomes at debug level; off in service
 }
 
@@ -108,6 +109,9 @@
 // the clock is slewed, are reported once they add up to this.
 const minClockStep = 50 * time.Millisecond
 
+// HeldUp reports whether this process had too little processor time within the last second.
+func (l *Loop) HeldUp() bool { return l.holdUps.recent(Now()) }
+
 // Post queues an event. The inbox needs no bound of its own: it holds at most a few events for each open request context,
 // try and call, and the fronts bound those.
 func (l *Loop) Post(ev core.Event) {
@@ -136,6 +140,7 @@
 	for ctx.Err() == nil {
 		if now := Now(); len(l.timers) > 0 {
 			l.stalls.check(now, now-l.timers[0].At)
+			l.holdUps.check(now)
 		}
 		l.awaitReaders()
 		l.mu.Lock()
@@ -145,9 +150,12 @@
 		l.unhandled.Add(-int64(len(batch)))
 		clear(batch) // the slice is reused and must not keep the events' data reachable
 		wait := time.Hour
+		due := time.Duration(0)
 		if len(l.timers) > 0 {
-			wait = l.timers[0].At - Now()
+			due = l.timers[0].At
+			wait = due - Now()
 		}
+		l.holdUps.expect(due)
 		if wait <= 0 {
 			continue
 		}
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -90,10 +90,7 @@
 // handleBytes handles bytes that have arrived. It is called with c.mu held, which it releases meanwhile.
 func (c *clientConnection) handleBytes(b []byte) {
 	now := time.Now()
-	arrived := now
-	if c.readFull { // more lay in the kernel by then
-		arrived = c.lastReadAt
-	}
+	arrived := c.arrivedBy(now)
 	c.readFull = len(b) >= min(c.front.readBytes, socket.ShortReadBytes)
 	readingEnded := c.readingEnded
 	c.reading = true
@@ -123,6 +120,20 @@
 	c.mu.Lock()
 }
 
+// arrivedBy returns by when bytes that have been read now had arrived. It is called with c.mu held.
+func (c *clientConnection) arrivedBy(now time.Time) time.Time {
+	arrived := now
+	if c.readFull { // more lay in the kernel by then
+		arrived = c.lastReadAt
+	}
+	if c.front.owner.HeldUp() { // they may have lain unread for long
+		if received := now.Add(-c.conn.SinceReceived()); received.Before(arrived) {
+			arrived = received
+		}
+	}
+	return arrived
+}
+
 // handleCommands handles the complete commands that have been read and returns their number. The last of their bytes had arrived
 // by the given time.
 func (c *clientConnection) handleCommands(now time.Time) (handled int) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -40,6 +40,7 @@
 	ID() uint64
 	Open() int
 	Backlog() int // events that were posted and not handled yet
+	HeldUp() bool // this process had too little processor time lately
 	Post(core.Event)
 }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -243,6 +243,17 @@
 // have got there yet, and also detects a close behind bytes that nobody has read.
 func (c *Conn) PeerClosed() bool { return c.ended.Load() || Descriptor{c.raw}.PeerClosed() }
 
+// SinceReceived returns how long ago the kernel received the newest bytes of the connection; 0 if it does not tell.
+func (c *Conn) SinceReceived() time.Duration {
+	var info *unix.TCPInfo
+	var err error
+	open := c.ask(func(fd int) { info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if !open || err != nil {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
 // Abort shuts down both directions immediately, even during a write, and does not block. Close must still be called; it then
 // resets the connection, and bytes that the kernel still holds are not sent.
 func (c *Conn) Abort() {
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -119,3 +119,18 @@
 	require.Equal(t, sent, taken)
 	require.LessOrEqual(t, most, MaxReadBytes)
 }
+
+// The time since bytes came counts from when the kernel received them, whether or not they have been read.
+func TestSinceReceivedCountsUnreadTime(t *testing.T) {
+	conn, peer := connectedPair(t)
+	const unread = 100 * time.Millisecond
+	const resolution = 20 * time.Millisecond // of the kernel's clock, twice the longest tick
+	time.Sleep(unread)
+	_, err := peer.Write([]byte("x"))
+	require.NoError(t, err)
+	sent := time.Now()
+	require.Eventually(t, func() bool { return !conn.Drained() }, testTimeout, time.Millisecond)
+	require.LessOrEqual(t, conn.SinceReceived(), time.Since(sent)+resolution)
+	time.Sleep(unread)
+	require.GreaterOrEqual(t, conn.SinceReceived(), unread-resolution)
+}
