platform: the time of a command that waited for memory counts from when it came

Cause: its time ran from when its last bytes were read. The kernel is now asked when they came also where the reader has waited for room.

TestTimeOfCommandCountsWaitForMemory failed before: "7.997930379s" is not less than or equal to "7.85s"; passes 5 of 5 with the race detector.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -126,7 +126,7 @@
 	if c.readFull { // more lay in the kernel by then
 		arrived = c.lastReadAt
 	}
-	if c.front.owner.HeldUp() { // they may have lain unread for long
+	if c.roomWaited > 0 || c.front.owner.HeldUp() { // they may have lain unread for long
 		if received := now.Add(-c.conn.SinceReceived()); received.Before(arrived) {
 			arrived = received
 		}
--- a/internal/platform/room_test.go
+++ b/internal/platform/room_test.go
@@ -129,3 +129,20 @@
 		})
 	}
 }
+
+// The time of a command that waited for memory was counted from when its last bytes were read, not from when they came.
+func TestTimeOfCommandCountsWaitForMemory(t *testing.T) {
+	t.Parallel()
+	const (
+		waited    = 300 * time.Millisecond
+		deadline  = 8 * time.Second
+		maxExcess = 150 * time.Millisecond // of a told deadline over what the client has left
+	)
+	s, input := newFixtureWithInput(t)
+	input.Add(inputBudgetBytes) // others hold all
+	terms := "c=read,t=regular,d=8000,units=1,spread=1,first=0,x=" + strings.Repeat("x", soundBytes)
+	s.write(s.dial(), string(resp.AppendCommand(nil, []byte("Q.ASK"), []byte("00000000b4d65521"), []byte("large"), []byte(terms))))
+	time.Sleep(waited)
+	input.Add(-inputBudgetBytes)
+	require.LessOrEqual(t, s.waitForRequests(1)[0].TTL, deadline-waited+maxExcess)
+}
