tests: a request is sent to the stopped limiter once every thread of it has stopped

Trace: with the moment of its receipt at the server in the message, 32 failures in 400 runs beside six busy processes, all of requests that the server had within 1.8 ms of their sending. The test now waits until each thread is stopped; its bound is as it was. After: 240 runs of both cases beside six busy processes, no failure.

--- a/cmd/bramblefall/restart_test.go
+++ b/cmd/bramblefall/restart_test.go
@@ -25,6 +25,22 @@
 	require.NoError(l.t, l.cmd.Process.Signal(syscall.SIGCONT))
 }
 
+// waitUntilStopped waits until each thread of the process has stopped, which takes a moment after SIGSTOP.
+func (l *limiter) waitUntilStopped() {
+	l.t.Helper()
+	require.Eventually(l.t, func() bool {
+		states, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", l.cmd.Process.Pid))
+		require.NoError(l.t, err)
+		for _, path := range states {
+			state, err := os.ReadFile(path)
+			if err != nil || !strings.Contains(string(state), ") T ") {
+				return false
+			}
+		}
+		return len(states) > 0
+	}, testTimeout, time.Millisecond)
+}
+
 // waitForLog waits until the limiter's log contains text.
 func (l *limiter) waitForLog(text string) {
 	l.t.Helper()
--- a/cmd/bramblefall/terms_test.go
+++ b/cmd/bramblefall/terms_test.go
@@ -92,6 +92,7 @@
 			require.Equal(t, "v", c.do(askArgs("01")...))
 			var sent time.Time
 			l.whileStopped(0, func() {
+				l.waitUntilStopped()
 				if !accepted {
 					c = l.dial()
 				}
