--- a/review/6/main.go
+++ b/review/6/main.go
@@ -18,9 +18,9 @@
 
 const (
 	memoryMB     = 192
-	badClients   = 300 // connections, with the sound ones under a third of the descriptors
-	badFirms     = 3   // in whose names they ask
-	atOnce       = 200 // commands of a bad client that are out at once
+	badClients   = 300             // connections, with the sound ones under a third of the descriptors
+	badFirms     = 3               // in whose names they ask
+	atOnce       = 200             // commands of a bad client that are out at once
 	calmPause    = 3 * time.Second // without the disruption, between two commands of such a client
 	settled      = 2 * time.Second
 	soundTime    = 12 * time.Second // in which sound clients send
