socket: no try begins for a client whose end may wait behind unread bytes

Cause: beyond the receive window the kernel hears of a close only when all before it is read, which took seconds; the gRPC front asked nobody. Change: Presence follows what is read; tries wait while it is not known that the client is there, at most 0.2 s, then the request ends. A reader that is far behind refuses without the reducer while others wait.

--- a/internal/grpcserver/conn.go
+++ b/internal/grpcserver/conn.go
@@ -1,6 +1,7 @@
 package grpcserver
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -44,6 +45,7 @@
 type gatedConn struct {
 	net.Conn
 	descriptor socket.Descriptor
+	presence   socket.Presence
 	listener   *Listener
 
 	readFull        bool // the last read took as much as it could
@@ -72,6 +74,7 @@
 
 func newGatedConn(conn net.Conn, descriptor socket.Descriptor, l *Listener) *gatedConn {
 	c := &gatedConn{Conn: conn, descriptor: descriptor, listener: l, readBytes: bufferBytes, lastUsedAt: time.Now(), callsInHand: memory.NewBudget("caller", 0)}
+	c.presence.Start(descriptor)
 	c.received.prefaceLeft = len(http2.ClientPreface)
 	c.written = sync.NewCond(&c.mu)
 	return c
@@ -86,6 +89,19 @@
 // RemoteAddr implements net.Conn.
 func (c *gatedConn) RemoteAddr() net.Addr { return callerAddr{c.Conn.RemoteAddr(), c} }
 
+// CallerState returns what is known of whether the caller of a call is still there, by the context of the call. The library may not
+// have read the end of its connection yet.
+func CallerState(ctx context.Context) socket.PeerState {
+	if ctx.Err() != nil {
+		return socket.PeerGone
+	}
+	c, ok := ctx.Value(connectionKey{}).(*gatedConn)
+	if !ok {
+		return socket.PeerPresent
+	}
+	return c.presence.State(c.descriptor)
+}
+
 // owesAnswer reports whether a call is in progress that has an answer to come. It is called with c.mu held.
 func (c *gatedConn) owesAnswer() bool {
 	return c.unaryCalls.Load() > 0 || int64(c.streams.wholeCalls()) > c.openWatchers.Load()
@@ -203,7 +219,13 @@
 		if c.evicted {
 			return false
 		}
-		c.noteReceived(b[:read()])
+		n := read()
+		if n > 0 {
+			c.presence.NoteRead(n, 0)
+		} else {
+			c.presence.NoteDrained()
+		}
+		c.noteReceived(b[:n])
 		return true
 	})
 }
--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -73,6 +73,7 @@
 	awaitingInput  bool  // the rest of a command is not read yet, for want of memory
 	lastReadAt     time.Time
 
+	shedding   bool          // what is read is refused, since the reader is far behind; used only by the reader
 	readFull   bool          // the last piece read was as large as any; used only by the reader
 	roomWaited time.Duration // by the command that has begun, because of other clients; used only by the reader
 
@@ -96,6 +97,7 @@
 	readingEnded := c.readingEnded
 	c.reading = true
 	c.mu.Unlock()
+	c.shedding = c.readFull && c.front.turns.Waiting() > 0 && c.conn.Behind()
 	handled := 0
 	if !readingEnded { // what comes later is discarded, so that the close does not reset the connection
 		c.parser.Feed(b)
@@ -139,7 +141,7 @@
 // by the given time.
 func (c *clientConnection) handleCommands(now time.Time) (handled int) {
 	for ending := false; !ending; handled++ {
-		if c.parser.Discarding() || c.pendingFull() {
+		if c.shedding || c.parser.Discarding() || c.pendingFull() {
 			if !c.refuseNext() {
 				return handled
 			}
--- a/internal/platform/gone_test.go
+++ b/internal/platform/gone_test.go
@@ -227,6 +227,16 @@
 	require.Equal(s.t, connections, now, "a server connection was made for a client that had gone")
 }
 
+// requireEventually tries a request until a try ends with the given status.
+func (s *fixture) requireEventually(q core.RequestContext, want logic.Status) {
+	s.t.Helper()
+	tries := 0
+	require.Eventually(s.t, func() bool {
+		tries++
+		return s.try(q, tries) == want
+	}, testTimeout, time.Millisecond)
+}
+
 // A client may close its connection in any way while its request waits in the inbox of a busy loop. The request must not be sent
 // on, and other clients must not be affected.
 func TestNoTryForClientGoneWhileLoopIsBusy(t *testing.T) {
@@ -288,6 +298,42 @@
 	}
 }
 
+// Beyond the kernel's window a client's close cannot be seen before all that it has sent is read. Its tries must not begin meanwhile:
+// they wait, and their requests end unless it turns out in time that the client is there.
+func TestNoTryWhileClientsCloseMayBeHeldBack(t *testing.T) {
+	t.Parallel()
+	const unread = 5000
+	for name, leaves := range map[string]bool{"the client goes": true, "the client stays": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 2, serve)
+			conn := s.dial()
+			s.write(conn, ask("01")+ask("02"))
+			q := s.waitForRequests(2) // the front is blocked in posting the second
+			var text strings.Builder
+			for k := range unread {
+				text.WriteString(ask(fmt.Sprint("unread", k)))
+			}
+			s.write(conn, text.String())
+			if leaves {
+				require.NoError(t, conn.Close())
+			}
+			time.Sleep(goneAfter + time.Millisecond)
+			require.Equal(t, logic.NotAttempted, s.try(q[0], 0))
+			commands, connections := s.received()
+			require.Empty(t, commands)
+			require.Zero(t, connections, "a server connection was made for a client that may have gone")
+			close(s.owner.resume)
+			if leaves {
+				s.requireEventually(q[1], logic.Cancelled)
+				return
+			}
+			s.waitForRequests(1000)
+			s.requireEventually(q[1], logic.OK)
+		})
+	}
+}
+
 // A connection at its limit of pending commands: commands beyond it are read and refused in their turn, and so the client's close is
 // noticed too.
 func TestCloseIsSeenAtPendingCommandLimit(t *testing.T) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -191,6 +191,7 @@
 	f.mu.Lock()
 	f.clients[c] = struct{}{}
 	f.mu.Unlock()
+	conn.TrackPeer()
 	conn.Serve(socket.Reader{Lock: &c.mu, Await: c.awaitRoom, Stopped: func() bool { return c.closingIdle }, Handle: c.handleBytes, Ended: c.onClose,
 		Turns: f.turns, Monitor: f.memory.Monitor})
 }
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -10,6 +10,7 @@
 
 	"bramblefall/internal/core"
 	"bramblefall/internal/resp"
+	"bramblefall/internal/socket"
 	"bramblefall/logic"
 )
 
@@ -192,8 +193,8 @@
 	return resp.AppendCommand(b, args...)
 }
 
-// Gone implements upstream.Command.
-func (r *request) Gone() bool { return r.client.conn.PeerClosed() }
+// Client implements upstream.Command.
+func (r *request) Client() socket.PeerState { return r.client.conn.PeerState() }
 
 func (r *request) finish(answer []byte) {
 	r.client.mu.Lock()
--- a/internal/platform/room.go
+++ b/internal/platform/room.go
@@ -22,12 +22,21 @@
 // not short, and until there is memory for the command that has begun. A command that has waited for maxRoomWait is read on without
 // being held, and refused at its end. It returns how many bytes may be read at once.
 func (c *clientConnection) awaitRoom() int {
+	c.closeIfGone()
 	c.awaitAnswersRead()
 	c.awaitRelief()
 	c.awaitInputMemory()
 	return c.front.readBytes
 }
 
+// closeIfGone closes the connection of a client that has gone, where others wait for the time that it would take to read what it has
+// sent.
+func (c *clientConnection) closeIfGone() {
+	if c.readFull && c.front.turns.Waiting() > 0 && c.conn.PeerClosed() {
+		c.conn.Close()
+	}
+}
+
 // noteWait adds to what the command has waited for room.
 func (c *clientConnection) noteWait(began time.Time) { c.roomWaited += time.Since(began) }
 
--- a/internal/ratelimit/caller.go
+++ b/internal/ratelimit/caller.go
@@ -19,6 +19,8 @@
 
 	"bramblefall/internal/core"
 	"bramblefall/internal/crash"
+	"bramblefall/internal/grpcserver"
+	"bramblefall/internal/socket"
 	"bramblefall/logic"
 )
 
@@ -202,10 +204,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	origin := t.Origin.(*check)
-	if origin.callCtx.Err() != nil { // Guards against a call for a caller that has gone before the reducer was told.
+	switch grpcserver.CallerState(origin.callCtx) {
+	case socket.PeerGone: // Guards against a call for a caller that has gone before the reducer was told.
 		c.post(core.ClientGone{ID: t.ID})
 		c.post(core.Outcome{Key: t.Key, Status: logic.Cancelled})
 		return
+	case socket.PeerUnknown: // it sends more than is read, and its end may be held back behind that
+		c.post(core.Outcome{Key: t.Key, Status: logic.NotAttempted})
+		return
 	}
 	e, ok := c.endpoints[t.Server]
 	status := logic.ConnectFailed
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -64,7 +64,8 @@
 	discarded atomic.Bool
 
 	writeTimeout time.Duration
-	turns        turns // used only by the reader
+	turns        turns     // used only by the reader
+	presence     *Presence // nil where nobody asks for the peer's state
 }
 
 // Wrap returns a Conn for an established connection.
@@ -149,8 +150,10 @@
 		var err error
 		n, err = readNow(int(fd), (*buf)[:most])
 		if !errors.Is(err, syscall.EAGAIN) {
+			c.notePiece(n)
 			return true
 		}
+		c.noteDrained()
 		r.Lock.Unlock()
 		readBuffers.Put(buf)
 		c.turns.end(0)
@@ -252,6 +255,38 @@
 // have got there yet, and also detects a close behind bytes that nobody has read.
 func (c *Conn) PeerClosed() bool { return c.ended.Load() || Descriptor{c.raw}.PeerClosed() }
 
+// TrackPeer begins to follow whether the peer of a connection that has just been accepted is still there. It must be called before
+// Serve.
+func (c *Conn) TrackPeer() {
+	c.presence = &Presence{}
+	c.presence.Start(Descriptor{c.raw})
+}
+
+func (c *Conn) notePiece(n int) {
+	if c.presence != nil {
+		c.presence.NoteRead(n, c.turns.waited)
+	}
+}
+
+func (c *Conn) noteDrained() {
+	if c.presence != nil {
+		c.presence.NoteDrained()
+	}
+}
+
+// PeerState returns what is known of whether the peer is still there, also behind bytes that nobody has read. TrackPeer must have
+// been called.
+func (c *Conn) PeerState() PeerState {
+	if c.ended.Load() {
+		return PeerGone
+	}
+	return c.presence.State(Descriptor{c.raw})
+}
+
+// Behind reports whether the reader is so far behind what the peer sends that it may have gone meanwhile. TrackPeer must have been
+// called.
+func (c *Conn) Behind() bool { return c.presence.Behind(Descriptor{c.raw}) }
+
 // SinceReceived returns how long ago the kernel received the newest bytes of the connection; 0 if it does not tell.
 func (c *Conn) SinceReceived() time.Duration {
 	var info *unix.TCPInfo
--- a/internal/upstream/late_test.go
+++ b/internal/upstream/late_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bramblefall/internal/core"
+	"bramblefall/internal/socket"
 	"bramblefall/logic"
 )
 
@@ -16,7 +17,7 @@
 type command struct{ core.Origin }
 
 func (command) AppendCommand(b []byte, _ time.Duration) []byte { return append(b, "PING\r\n"...) }
-func (command) Gone() bool                                     { return false }
+func (command) Client() socket.PeerState                       { return socket.PeerPresent }
 
 // A try that expires before it can be sent must not be reported as LocalShortage, which means a shortage of descriptors, ports
 // or buffers: the module would then hold back requests beyond the number of tries that happen to be in flight.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,14 +30,16 @@
 	shortageLogInterval   = time.Second
 	reuseDelay            = 20 * time.Millisecond  // after an answer, so that surplus bytes from the server are not taken for the next try's answer
 	replyStallTimeout     = 250 * time.Millisecond // without a byte in the middle of an answer: the rest will not come
+	clientCheckInterval   = 25 * time.Millisecond  // between two looks at whether a try's client is there; longer than reuseDelay
+	maxClientWait         = 200 * time.Millisecond // for a look that tells
 	unreservedBytes       = 4 << 10                // of an incomplete answer, held without a reservation
 	maxReplyBytes         = 96 << 10
 )
 
-// Command is implemented by the origin of a try: it encodes the command and reports whether its client has gone.
+// Command is implemented by the origin of a try: it encodes the command and reports whether its client is still there.
 type Command interface {
 	AppendCommand(b []byte, wait time.Duration) []byte
-	Gone() bool
+	Client() socket.PeerState
 }
 
 // Pool manages the connections. Each carries one try at a time: answers come in order, so a slow try would delay those behind
@@ -84,6 +86,8 @@
 	sendState sendState
 	carrier   *connection // carries the try from the start of its write; nil before that and after its end
 	done      bool        // its outcome has been reported
+
+	clientUnknownAt time.Duration // since when it is not known whether its client is there; 0 while it is
 }
 
 type connection struct {
@@ -329,14 +333,37 @@
 		p.finish(core.Outcome{Status: late}, f)
 		return false
 	}
-	if f.origin.Gone() {
+	switch f.origin.Client() {
+	case socket.PeerGone:
 		p.post(core.ClientGone{ID: f.key.ID}) // posted first, so that the module does not retry the request
 		p.finish(core.Outcome{Status: logic.Cancelled}, f)
 		return false
+	case socket.PeerUnknown:
+		p.awaitClient(f)
+		return false
 	}
 	return true
 }
 
+// awaitClient starts a try again a little later, when more has been read of what its client sends. If it is still not known then
+// whether the client is there, the try ends, and its request with it: the client sends more than is read.
+func (p *Pool) awaitClient(f *inFlight) {
+	if f.clientUnknownAt == 0 {
+		f.clientUnknownAt = p.now()
+	}
+	if p.now()-f.clientUnknownAt >= maxClientWait {
+		p.finish(core.Outcome{Status: logic.NotAttempted}, f)
+		return
+	}
+	crash.AfterFunc(clientCheckInterval, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if !f.done {
+			p.start(f)
+		}
+	})
+}
+
 // write sends a try's command, after maySend. An idle connection's send buffer is empty, since the server has answered everything
 // that was in it, so a small write never blocks; a larger one gets its own goroutine.
 //
