fairqueue: want of room holds turns back for 20 ms at most

By reading: events of the gRPC front alone could keep the reducer's backlog over its bound, so that no client of the platform's front was read from.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -15,6 +15,9 @@
 	// pause lets the scheduler look at the network, which it does only once it has nothing else to run.
 	pause = 20 * time.Microsecond
 
+	// maxRoomWait is how long no turn is granted for want of room, where flows wait: whoever else fills it must not stop them all.
+	maxRoomWait = 20 * time.Millisecond
+
 	// workBeforePause is how long turns work, all together and while others wait, before one of them pauses.
 	workBeforePause = 250 * time.Microsecond
 )
@@ -30,6 +33,7 @@
 	virtualTime uint64 // start tag of the turn that was granted last
 	lastArrival uint64
 	waiting     waitHeap
+	waitedFrom  time.Time     // when a flow that waits could last have been granted a turn, or began to wait
 	work        time.Duration // in turns since the last pause
 }
 
@@ -39,8 +43,8 @@
 	startedAt time.Time
 }
 
-// New returns a queue that grants so many turns at once, and none while hasRoom, if not nil, returns false. Wake must be called
-// when that changes.
+// New returns a queue that grants so many turns at once, and while hasRoom, if not nil, returns false, only one each maxRoomWait.
+// Wake must be called when that may have changed, and often enough for those.
 func New(slots int, hasRoom func() bool) *Queue {
 	if hasRoom == nil {
 		hasRoom = func() bool { return true }
@@ -69,6 +73,9 @@
 	q.waiters.Add(1) // before hasRoom is asked, so that a Wake that comes meanwhile does not miss it
 	q.lastArrival++
 	w := &waiter{start: q.startTag(f), arrival: q.lastArrival, granted: make(chan struct{})}
+	if len(q.waiting) == 0 {
+		q.waitedFrom = time.Now()
+	}
 	heap.Push(&q.waiting, w)
 	q.grantNext()
 	q.mu.Unlock()
@@ -139,9 +146,10 @@
 
 // grantNext grants free turns to the flows with the lowest tags. It is called with q.mu held.
 func (q *Queue) grantNext() {
-	for q.held < q.slots && len(q.waiting) > 0 && q.hasRoom() {
+	for q.held < q.slots && len(q.waiting) > 0 && (q.hasRoom() || time.Since(q.waitedFrom) >= maxRoomWait) {
 		w := heap.Pop(&q.waiting).(*waiter)
 		q.waiters.Add(-1)
+		q.waitedFrom = time.Now()
 		q.grant(w.start)
 		close(w.granted)
 	}
