discovery: a later start at an address ends the server that was there before

What callers saw: a process that came up at the address of a dead server, under a name of its own, got 200 of 200 requests while it was cold, since the old name kept a warm server's share; a restarted server got requests on connections kept to the process before. Cause: servers were kept by name alone, and a new start time changed nothing in the pool. Both process tests failed before; the test of endpoints (gRPC) passes on the code before, too.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -73,6 +73,7 @@
 	lastID       logic.ServerID
 	listed       map[string]logic.ServerID // servers named by the last complete list or a later change, except those that are gone
 	drains       map[string]drain          // by the server's name in the list
+	book         addressBook
 }
 
 // drain records that a server was reported as draining or gone.
@@ -106,6 +107,7 @@
 		ids:          map[string]logic.ServerID{},
 		listed:       map[string]logic.ServerID{},
 		drains:       map[string]drain{},
+		book:         newAddressBook(),
 	}
 }
 
@@ -282,6 +284,7 @@
 	if l.Full {
 		for name, id := range before {
 			if _, ok := c.listed[name]; !ok {
+				c.book.remove(name)
 				c.addresses.Withdraw(id) // a complete list without the server means that it is gone
 				c.drains[name] = drain{l.Version, anyStartTime, time.Now()}
 			}
@@ -344,23 +347,21 @@
 		case c.staysWithdrawn(s, l.Version):
 			stale.add(s)
 			state = logic.Draining
+		case c.isSuperseded(s):
+			state = logic.Draining
 		default:
 			delete(c.drains, s.ID)
 		}
 		if c.listed[s.ID] = id; state == logic.Gone {
 			delete(c.listed, s.ID)
 		}
-		if state != logic.Ready {
-			c.addresses.Withdraw(id)
-		} else if s.Addr != "" {
-			c.addresses.SetAddress(id, s.Addr)
-		}
-		e := logic.Server{ID: id, Weight: s.Weight, Cell: s.Cell, Kind: c.kinds.Index(s.Kind),
-			Zone: c.zones.Index(s.Zone), State: state}
-		if s.StartedMS > 0 {
-			e.Started = time.Duration(s.StartedMS) * time.Millisecond
+		if state == logic.Ready {
+			list.Servers = append(list.Servers, c.publishReady(s, id)...)
+			continue
 		}
-		list.Servers = append(list.Servers, e)
+		c.book.remove(s.ID)
+		c.addresses.Withdraw(id)
+		list.Servers = append(list.Servers, c.entry(s, id, state))
 	}
 	if unknown.count > 0 {
 		slog.Warn("unknown state of a server, want ready, draining or gone; treated as draining", "id", unknown.first.ID,
@@ -375,6 +376,21 @@
 	c.post(core.UpstreamGroup{ServerList: list})
 }
 
+// isSuperseded reports whether a server that a list calls ready has gone, since another started later at its address.
+func (c *Client) isSuperseded(s Server) bool {
+	_, superseded := c.book.supersededBy(s)
+	return superseded
+}
+
+// entry returns the module's entry of a server.
+func (c *Client) entry(s Server, id logic.ServerID, state logic.ServerState) logic.Server {
+	e := logic.Server{ID: id, Weight: s.Weight, Cell: s.Cell, Kind: c.kinds.Index(s.Kind), Zone: c.zones.Index(s.Zone), State: state}
+	if s.StartedMS > 0 {
+		e.Started = time.Duration(s.StartedMS) * time.Millisecond
+	}
+	return e
+}
+
 // forgetDrains drops drains that no older list can contradict any more, and the earliest ones where there are more than servers
 // may be listed.
 func (c *Client) forgetDrains() {
