platform: an id whose request may still run is not taken again once its client has left

What callers saw: a client left while a try was out, its transfer came again under the same id, and the server had it twice. Cause: the front forgot an id with its client's connection; giving up a try does not stop a server's work. TestIDThatComesAgainWhileItMayRunIsNotRunTwice failed before, with and without second copies.

--- a/internal/platform/connection.go
+++ b/internal/platform/connection.go
@@ -418,7 +418,7 @@
 	c.mu.Unlock()
 	c.trace("client connection over", "waiting", len(pending), "unwritten", !c.outbox.Empty())
 	for id, r := range pending {
-		c.front.release(r)
+		c.front.leave(r)
 		c.front.owner.Post(core.ClientGone{ID: id})
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,8 +73,7 @@
 	mu      sync.Mutex // locked before a client connection's mu, never while holding it
 	clients map[*clientConnection]struct{}
 
-	idsMu   sync.Mutex
-	openIDs map[string]struct{} // IDs of the open requests
+	ids *requestIDs
 }
 
 // Memory is what bounds the bytes that the front holds.
@@ -95,7 +94,7 @@
 // the share of a core that the process runs on (0: a whole one).
 func New(settings logic.Settings, owner Owner, board *plans.TierStore, maxClients int, mem Memory, cores float64) *Front {
 	f := &Front{owner: owner, settings: settings, classes: map[string]int{}, board: board, maxClients: maxClients, maxOpen: defaultMaxOpen, memory: mem,
-		clients: map[*clientConnection]struct{}{}, openIDs: map[string]struct{}{},
+		clients: map[*clientConnection]struct{}{}, ids: newRequestIDs(),
 		traceEnabled: slog.Default().Enabled(context.Background(), slog.LevelDebug)}
 	f.turns = fairqueue.New(runtime.GOMAXPROCS(0), func() bool { return owner.Backlog() <= maxBacklog })
 	owner.OnHandled(f.turns.Wake)
@@ -138,6 +137,7 @@
 			return
 		case now := <-tick.C:
 			f.logRejected(now)
+			f.ids.expire(now)
 			for _, c := range f.clientList() {
 				c.enforceTimeouts(now)
 			}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -33,6 +33,8 @@
 	args         [][]byte // as the client sent them
 	heldBytes    int64    // that it takes while it is in hand
 	deadlineSpan [2]int   // start and end of the value of d in args[3]
+	class        int
+	mayRun, left bool // a try of it may have been sent; its client has gone; both guarded by the client's mu
 }
 
 // acceptRequest parses a request and posts its request context. It reports whether the connection ends with it.
@@ -48,14 +50,14 @@
 	if c.outbox.Queued() >= maxBackloggedBytes { // guards the servers: the answers of a client that does not read would be computed for nothing, ahead of others'
 		return c.reply(c.front.busyAnswer, false)
 	}
-	if !c.front.track(r) {
+	if !c.front.ids.track(string(args[2])) {
 		return c.replyError("a request with this id is open", false)
 	}
 	if r.answerSlot = c.reserveSlot(false); r.answerSlot == nil {
-		c.front.release(r)
+		c.front.ids.release(string(args[2]))
 		return false
 	}
-	r.id = c.front.owner.ID()
+	r.id, r.class = c.front.owner.ID(), q.Class
 	q.ID = r.id
 	// Guards against an answer that is ready just before its deadline and then waits for the process's share of a core.
 	if q.TTL -= time.Since(now) + c.front.answerMargin; q.TTL <= 0 {
@@ -75,19 +77,6 @@
 	return false
 }
 
-// track registers a request's ID. It returns false for the ID of an open request: a server would take the second
-// request for a copy of the first.
-func (f *Front) track(r *request) bool {
-	f.idsMu.Lock()
-	defer f.idsMu.Unlock()
-	id := string(r.args[2])
-	if _, open := f.openIDs[id]; open {
-		return false
-	}
-	f.openIDs[id] = struct{}{}
-	return true
-}
-
 // hasCommandMemory reports whether there is memory for one more request of this connection, and sets how much it takes.
 func (c *clientConnection) hasCommandMemory(r *request) bool {
 	r.heldBytes = requestBytes
@@ -99,13 +88,6 @@
 	return c.front.memory.Commands.Fits(c.commandBytes, r.heldBytes)
 }
 
-// release forgets the ID of a request that is over.
-func (f *Front) release(r *request) {
-	f.idsMu.Lock()
-	defer f.idsMu.Unlock()
-	delete(f.openIDs, string(r.args[2]))
-}
-
 // parseRequest parses a request's arguments. A request that cannot be parsed is the client's error and costs nobody else anything.
 func (f *Front) parseRequest(name string, args [][]byte, r *request) (q logic.Request, err error) {
 	if len(args) < 4 || len(args) > 5 || name == "Q.ASK" && len(args) > 4 {
@@ -188,6 +170,7 @@
 
 // AppendCommand implements upstream.Command: the client's own command, with d replaced by the limiter's remaining wait.
 func (r *request) AppendCommand(b []byte, wait time.Duration) []byte {
+	r.client.front.noteSent(r)
 	terms := r.args[3]
 	own := append(make([]byte, 0, len(terms)+8), terms[:r.deadlineSpan[0]]...)
 	own = strconv.AppendInt(own, max(1, wait.Milliseconds()), 10)
@@ -211,7 +194,7 @@
 	if !waits { // its client has gone, or has already been told that the request failed
 		return
 	}
-	r.client.front.release(r)
+	r.client.front.ids.release(string(r.args[2]))
 	if r.client.front.traceEnabled {
 		r.client.trace("answered", "id", string(r.args[2]), "context", r.id, "begins", string(answer[:min(len(answer), 8)]))
 	}
