tests: shares and returning ids are tested without a race of their own

TestIDThatComesAgainUnsentIsTaken waited without an end on a stand-in's first connection; the same is asserted on the front itself by TestIDIsFreeOnceClientHasLeftUnlessItMayRun, and of ids that were sent, too.

--- a/cmd/bramblefall/returning_id_test.go
+++ b/cmd/bramblefall/returning_id_test.go
@@ -40,27 +40,3 @@
 		})
 	}
 }
-
-// An id whose request was never sent is free as soon as its client has left, and is taken again.
-func TestIDThatComesAgainUnsentIsTaken(t *testing.T) {
-	t.Parallel()
-	d := newGatedListener(t)
-	d.fillBacklog()
-	set := settings()
-	set["caps"].(object)["connectTimeout"] = 8.0
-	l := start(t, fixture{settings: set, servers: []*server{{id: "s-1", zone: "hall-a", state: "ready", addr: d.addr}}})
-	first := l.dial()
-	first.write(encodeCommand(doArgs("again")...))
-	d.waitForPendingDial()
-	require.NoError(t, first.conn.Close())
-	time.Sleep(100 * time.Millisecond) // for the limiter to find its client gone
-	second := l.dial()
-	second.write(encodeCommand(doArgs("again")...))
-	_ = d.accept() // what filled the queue
-	for conn := d.accept(); ; conn = d.accept() {
-		if args := readCommand(conn); args != nil {
-			assert.Equal(t, "again", args[2])
-			return
-		}
-	}
-}
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -1,6 +1,7 @@
 package fairqueue_test
 
 import (
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -44,6 +45,18 @@
 	assert.Equal(t, 0, <-granted)
 }
 
+// awaitWaiting waits until so many flows wait, or until stop is closed.
+func awaitWaiting(q *fairqueue.Queue, flows int, stop <-chan struct{}) {
+	for q.Waiting() < flows {
+		select {
+		case <-stop:
+			return
+		default:
+			runtime.Gosched()
+		}
+	}
+}
+
 // Flows that always have more get turns by the inverse of what each of them costs, and none waits for ever.
 func TestSharesAreEven(t *testing.T) {
 	q := fairqueue.New(1, nil)
@@ -55,6 +68,7 @@
 		flows.Go(func() {
 			for f := (&fairqueue.Flow{}); q.Acquire(f, stop); {
 				used[k].Add(int64(cost))
+				awaitWaiting(q, len(costs)-1, stop) // each flow always has more
 				q.Release(f, cost)
 			}
 		})
--- a/internal/platform/gone_test.go
+++ b/internal/platform/gone_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"strings"
@@ -334,6 +335,42 @@
 	}
 }
 
+// An id of which no try was sent is free as soon as its client has left, and is taken again; one of which a try may run is not.
+func TestIDIsFreeOnceClientHasLeftUnlessItMayRun(t *testing.T) {
+	t.Parallel()
+	for name, sent := range map[string]bool{"never sent": false, "sent": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newFixture(t, 0, func(string) string { return "" })
+			conn := s.dial()
+			s.write(conn, ask("01"))
+			q := s.waitForRequests(1)[0]
+			if sent {
+				s.pool.Try(core.Try{Key: core.Key{ID: q.ID}, Server: 1, Timeout: testTimeout, SendUntil: loop.Now() + testTimeout, Origin: q.Origin})
+				require.Eventually(t, func() bool { commands, _ := s.received(); return len(commands) == 1 }, testTimeout, time.Millisecond)
+			}
+			require.NoError(t, conn.Close())
+			require.Eventually(t, func() bool {
+				for _, ev := range s.owner.all() {
+					if _, gone := ev.(core.ClientGone); gone {
+						return true
+					}
+				}
+				return false
+			}, testTimeout, time.Millisecond)
+			again := s.dial()
+			s.write(again, ask("01"))
+			if !sent {
+				s.waitForRequests(2)
+				return
+			}
+			line, err := bufio.NewReader(again).ReadString('\n')
+			require.NoError(t, err)
+			require.Equal(t, "-ERR a request with this id is open\r\n", line)
+		})
+	}
+}
+
 // A connection at its limit of pending commands: commands beyond it are read and refused in their turn, and so the client's close is
 // noticed too.
 func TestCloseIsSeenAtPendingCommandLimit(t *testing.T) {
