socket: a reader that finds nothing to read while others have turns notes it

By reading: where a turn was not to be had at once, a reader with nothing left to read went to wait without noting it, so that a client that had sent over 16 KiB and stayed was taken for unknown until its next bytes, and its tries were given up.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -139,6 +139,9 @@
 	closed := c.raw.Read(func(fd uintptr) bool {
 		var begun bool
 		if begun, ended = c.turns.begin(int(fd), bulk, c.done); !begun {
+			if !ended {
+				c.noteDrained()
+			}
 			return ended
 		}
 		r.Lock.Lock()
