platform: readers do not wait for a loop that waits for them, nor for ever behind new ones

After a hold-up the loop sleeps so that the readers post what has arrived, while the readers had no room for turns before the loop handled its events. And start-time fair queueing grants new flows, of which each begins at the virtual time, before one that has used more, without end.

Change: Loop.Backlog is 0 while the loop waits for the readers; one turn in four goes to the flow that has waited longest, from 250 ms on.

--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -1,10 +1,12 @@
 // Package fairqueue divides the processor among the flows of a program by start-time fair queueing: each flow, such as a connection,
 // takes a turn before it works. A flow that has used less than its share goes before those that have used more, so that one with
-// little to do does not wait behind many that always have more.
+// little to do does not wait behind many that always have more. Some of the turns go by the time of waiting, so that none waits for
+// ever behind new flows.
 package fairqueue
 
 import (
 	"container/heap"
+	"container/list"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -18,6 +20,10 @@
 	// maxRoomWait is how long no turn is granted for want of room, where flows wait: whoever else fills it must not stop them all.
 	maxRoomWait = 20 * time.Millisecond
 
+	// longWait is from when on a flow's wait counts: one in longWaitEvery turns goes to the flow that has waited longest.
+	longWait      = 250 * time.Millisecond
+	longWaitEvery = 4
+
 	// workBeforePause is how long turns work, all together and while others wait, before one of them pauses.
 	workBeforePause = 250 * time.Microsecond
 )
@@ -30,9 +36,11 @@
 
 	mu          sync.Mutex
 	held        int
-	virtualTime uint64 // start tag of the turn that was granted last
+	virtualTime uint64 // start tag of the turn that was granted last in order
 	lastArrival uint64
 	waiting     waitHeap
+	arrivals    list.List     // of *waiter: those that wait, in the order of their arrival
+	granted     uint64        // turns, to flows that had waited
 	waitedFrom  time.Time     // when a flow that waits could last have been granted a turn, or began to wait
 	work        time.Duration // in turns since the last pause
 }
@@ -72,11 +80,12 @@
 	q.mu.Lock()
 	q.waiters.Add(1) // before hasRoom is asked, so that a Wake that comes meanwhile does not miss it
 	q.lastArrival++
-	w := &waiter{start: q.startTag(f), arrival: q.lastArrival, granted: make(chan struct{})}
+	w := &waiter{start: q.startTag(f), arrival: q.lastArrival, since: time.Now(), granted: make(chan struct{})}
 	if len(q.waiting) == 0 {
-		q.waitedFrom = time.Now()
+		q.waitedFrom = w.since
 	}
 	heap.Push(&q.waiting, w)
+	w.place = q.arrivals.PushBack(w)
 	q.grantNext()
 	q.mu.Unlock()
 	select {
@@ -98,7 +107,13 @@
 		q.grantNext()
 		return
 	}
+	q.remove(w)
+}
+
+// remove takes a flow off those that wait. It is called with q.mu held.
+func (q *Queue) remove(w *waiter) {
 	heap.Remove(&q.waiting, w.index)
+	q.arrivals.Remove(w.place)
 	q.waiters.Add(-1)
 }
 
@@ -144,13 +159,27 @@
 // startTag returns the tag at which a flow's next turn begins. A flow that was idle has saved nothing up.
 func (q *Queue) startTag(f *Flow) uint64 { return max(f.finish, q.virtualTime) }
 
-// grantNext grants free turns to the flows with the lowest tags. It is called with q.mu held.
+// next returns the flow whose turn is next. It is called with q.mu held, while flows wait.
+func (q *Queue) next() *waiter {
+	q.granted++
+	longest := q.arrivals.Front().Value.(*waiter)
+	if q.granted%longWaitEvery == 0 && time.Since(longest.since) >= longWait {
+		return longest
+	}
+	return q.waiting[0]
+}
+
+// grantNext grants the free turns. It is called with q.mu held.
 func (q *Queue) grantNext() {
 	for q.held < q.slots && len(q.waiting) > 0 && (q.hasRoom() || time.Since(q.waitedFrom) >= maxRoomWait) {
-		w := heap.Pop(&q.waiting).(*waiter)
-		q.waiters.Add(-1)
+		w := q.next()
+		q.remove(w)
 		q.waitedFrom = time.Now()
-		q.grant(w.start)
+		start := w.start
+		if len(q.waiting) > 0 {
+			start = min(start, q.waiting[0].start) // a turn out of order does not set back those that wait
+		}
+		q.grant(start)
 		close(w.granted)
 	}
 }
@@ -165,6 +194,8 @@
 	start   uint64
 	arrival uint64 // breaks ties
 	index   int    // in the heap; -1 once it has been granted its turn
+	place   *list.Element
+	since   time.Time
 	granted chan struct{}
 }
 
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -57,6 +57,38 @@
 	}
 }
 
+// New flows that come without end do not keep a flow waiting that has used much.
+func TestNewFlowsDoNotStarveOthers(t *testing.T) {
+	const longWait, mostTurns = 250 * time.Millisecond, 20
+	q := fairqueue.New(1, nil)
+	var heavy fairqueue.Flow
+	require.True(t, q.TryAcquire(&heavy))
+	q.Release(&heavy, 1<<30)
+	holder := &fairqueue.Flow{}
+	require.True(t, q.TryAcquire(holder))
+	heavyTurn := waiters(t, q, &heavy)
+	began := time.Now()
+	for turns := 0; ; {
+		if time.Since(began) >= longWait {
+			turns++
+		}
+		require.LessOrEqual(t, turns, mostTurns)
+		newcomer, granted := &fairqueue.Flow{}, make(chan struct{})
+		go func() {
+			q.Acquire(newcomer, nil)
+			close(granted)
+		}()
+		require.Eventually(t, func() bool { return q.Waiting() == 2 }, testTimeout, time.Microsecond)
+		q.Release(holder, 1)
+		select {
+		case <-heavyTurn:
+			return
+		case <-granted:
+			holder = newcomer
+		}
+	}
+}
+
 // Flows that always have more get turns by the inverse of what each of them costs, and none waits for ever.
 func TestSharesAreEven(t *testing.T) {
 	q := fairqueue.New(1, nil)
--- a/internal/grpcserver/codec.go
+++ b/internal/grpcserver/codec.go
@@ -12,6 +12,8 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 )
 
+const minFieldBytes = 2 // a tag, and a value or its length
+
 var errTooManyFields = errors.New("the message has too many fields")
 
 // boundedCodec decodes messages of at most maxFields fields, those of nested messages included. Guards against messages that take
@@ -33,12 +35,21 @@
 	}
 	buffer := data.MaterializeToBuffer(mem.DefaultBufferPool())
 	defer buffer.Free()
-	if _, err := consumeFields(buffer.ReadOnlyData(), message.ProtoReflect().Descriptor(), c.maxFields); err != nil {
+	if err := c.checkFields(buffer.ReadOnlyData(), message.ProtoReflect().Descriptor()); err != nil {
 		return err
 	}
 	return proto.Unmarshal(buffer.ReadOnlyData(), message)
 }
 
+// checkFields returns an error if an encoded message has too many fields.
+func (c boundedCodec) checkFields(b []byte, descriptor protoreflect.MessageDescriptor) error {
+	if len(b) <= minFieldBytes*c.maxFields {
+		return nil
+	}
+	_, err := consumeFields(b, descriptor, c.maxFields)
+	return err
+}
+
 // consumeFields returns how many of the fields that are left a message leaves.
 func consumeFields(b []byte, descriptor protoreflect.MessageDescriptor, left int) (int, error) {
 	for len(b) > 0 {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -46,6 +46,7 @@
 	planStore PlanStore    // nil if the plan book is not saved
 	onHandled atomic.Value // of func(): called after each batch
 
+	awaiting     atomic.Bool // whether the loop waits for the readers
 	lastID       atomic.Uint64
 	openRequests atomic.Int64
 	unhandled    atomic.Int64 // events that were posted and not handled yet
@@ -86,11 +87,22 @@
 // Open returns the number of open request contexts as of the last batch.
 func (l *Loop) Open() int { return int(l.openRequests.Load()) }
 
-// OnHandled sets a function that is called in the loop's goroutine after each batch of events. It must not block.
+// OnHandled sets a function that is called in the loop's goroutine whenever Backlog falls. It must not block.
 func (l *Loop) OnHandled(f func()) { l.onHandled.Store(f) }
 
-// Backlog returns the number of events that were posted and not handled yet.
-func (l *Loop) Backlog() int { return int(l.unhandled.Load()) }
+// Backlog returns the number of events that were posted and not handled yet; 0 while the loop itself waits for what the readers post.
+func (l *Loop) Backlog() int {
+	if l.awaiting.Load() {
+		return 0
+	}
+	return int(l.unhandled.Load())
+}
+
+func (l *Loop) notifyHandled() {
+	if f, ok := l.onHandled.Load().(func()); ok {
+		f()
+	}
+}
 
 var startTime = time.Now()
 
@@ -152,9 +164,7 @@
 		l.mu.Unlock()
 		l.processBatch(batch)
 		l.unhandled.Add(-int64(len(batch)))
-		if f, ok := l.onHandled.Load().(func()); ok {
-			f()
-		}
+		l.notifyHandled()
 		clear(batch) // the slice is reused and must not keep the events' data reachable
 		wait := time.Hour
 		due := time.Duration(0)
@@ -189,13 +199,21 @@
 			return
 		}
 		began := Now()
-		time.Sleep(readerTime)
+		l.giveReadersTime()
 		if Now()-began <= readerTime+maxTimerDelay {
 			return
 		}
 	}
 }
 
+// giveReadersTime sleeps for readerTime, in which no reader waits for the loop.
+func (l *Loop) giveReadersTime() {
+	l.awaiting.Store(true)
+	l.notifyHandled()
+	time.Sleep(readerTime)
+	l.awaiting.Store(false)
+}
+
 // processBatch passes a batch of events and the timers that are due to the reducer, then runs the effects.
 func (l *Loop) processBatch(batch []core.Event) {
 	now, wallClockAhead := readClocks()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -41,8 +41,8 @@
 type Owner interface {
 	ID() uint64
 	Open() int
-	Backlog() int     // events that were posted and not handled yet
-	OnHandled(func()) // sets what is called whenever events have been handled
+	Backlog() int     // events that were posted and wait to be handled
+	OnHandled(func()) // sets what is called whenever Backlog falls
 	HeldUp() bool     // this process had too little processor time lately
 	Post(core.Event)
 }
