tests: the eviction of a stalled client does not depend on which one stalled first

Cause: TestStalledPartialCommandIsEvicted took the client that wrote last for one that stays. Which one has stalled longest depends on the order in which the limiter's readers run: on a busy machine another than the first was evicted, and the request that it went on with never came.

Change: the test finds out who was evicted, wants exactly one, and all others, not one of them, have to get their requests in.

--- a/internal/platform/room_test.go
+++ b/internal/platform/room_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +22,7 @@
 	inputBudgetBytes = 64 << 10 // of the fixtures that have room for one large command
 	largeBytes       = 60000
 	soundBytes       = 8 << 10
+	evictionTime     = 100 * time.Millisecond // for the end of an evicted connection to reach its client
 
 	// inputAnswerTimeout is within what the shortest deadline of the deployments, 480 ms, and the half second after it leave.
 	inputAnswerTimeout = 900 * time.Millisecond
@@ -99,9 +102,20 @@
 		require.Less(t, time.Since(began), testTimeout, "each new connection was closed unread")
 		time.Sleep(time.Millisecond)
 	}
-	newest := stalled[maxClients-1] // the one that had stalled longest was evicted
-	s.write(newest, ask("half")[30:])
-	s.waitForRequests(1)
+	var staying []*net.TCPConn
+	for k, conn := range stalled { // which had stalled longest is for the limiter's readers to say
+		_ = conn.SetReadDeadline(time.Now().Add(evictionTime))
+		if _, err := conn.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			staying = append(staying, conn)
+		} else {
+			t.Logf("client %d was evicted", k)
+		}
+	}
+	require.Len(t, staying, maxClients-1, "clients that were not evicted")
+	for k, conn := range staying {
+		s.write(conn, ask(fmt.Sprintf("hal%d", k))[30:])
+	}
+	s.waitForRequests(len(staying))
 }
 
 // A command that found no memory waited without a bound: its client had neither an answer nor a close. It is refused in time, and the
